--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -151,7 +151,10 @@
 func (s *Scheduler) enqueue(w *Waiter) {
 	w.Verdicts = make(chan Verdict, 1)
 	w.phase = phaseQueued
-	w.charged = s.cost(w.Class)
+	if !w.Reservation {
+		// What a reservation brings waits in the queue of its home and is counted there.
+		w.charged = s.cost(w.Class)
+	}
 	rank := s.rank(w.Class)
 	s.flow(w.Class).push(w, rank.virtual, w.charged)
 	rank.backlog += w.charged
