--- a/internal/budgeter/retry.go
+++ b/internal/budgeter/retry.go
@@ -10,6 +10,7 @@
 // Retries allows a bounded number of retries for each neighbour's first tries. It is safe for
 // concurrent use.
 type Retries struct {
+	burst  func() float64
 	mu     sync.Mutex
 	ratio  func(neighbour string) float64
 	tokens map[string]float64
@@ -17,15 +18,27 @@
 
 // NewRetries returns a budget that earns ratio(neighbour) retries for each first try.
 func NewRetries(ratio func(neighbour string) float64) *Retries {
-	return &Retries{ratio: ratio, tokens: make(map[string]float64)}
+	return NewRetriesWithBurst(ratio, func() float64 { return retryBurst })
+}
+
+// NewRetriesWithBurst returns a budget that saves up to burst() retries.
+func NewRetriesWithBurst(ratio func(neighbour string) float64, burst func() float64) *Retries {
+	return &Retries{burst: burst, ratio: ratio, tokens: make(map[string]float64)}
 }
 
 // Earn books a first try of the neighbour.
 func (r *Retries) Earn(neighbour string) {
-	ratio := r.ratio(neighbour)
+	ratio, burst := r.ratio(neighbour), r.burst()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens[neighbour] = min(r.tokens[neighbour]+ratio, burst)
+}
+
+// Refund gives back a retry that reached no upstream.
+func (r *Retries) Refund(neighbour string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tokens[neighbour] = min(r.tokens[neighbour]+ratio, retryBurst)
+	r.tokens[neighbour]++
 }
 
 // Spend takes a retry out of the neighbour's budget. It reports false when none is left.
--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -20,6 +20,7 @@
 // Headers between nodes. Those that start with HeaderPrefix are removed from callers' requests.
 const (
 	HeaderPrefix    = "Marigoldrelay-"
+	headerArrived   = "Marigoldrelay-Arrived"
 	headerAttempt   = "Marigoldrelay-Attempt"
 	headerEcho      = "Marigoldrelay-Echo"
 	headerLoad      = "Marigoldrelay-Load"
@@ -44,6 +45,8 @@
 
 // Attempt is one try to run a caller's request at one node.
 type Attempt struct {
+	// Caller is the service on the VM where the call began.
+	Caller string `json:"caller,omitempty"`
 	// Call identifies the caller's request over all of its attempts.
 	Call string `json:"call"`
 	// Chain identifies the outermost request that this one is made for.
@@ -60,7 +63,12 @@
 	// Key is the caller's idempotency key, or empty.
 	Key       string `json:"key,omitempty"`
 	Neighbour string `json:"neighbour"`
-	Rank      string `json:"rank"`
+	// Optional is true where the sender has another node to try: the receiver hands the attempt back if
+	// it can't begin it at once on an upstream that is as fast as usual.
+	Optional bool   `json:"optional,omitempty"`
+	Rank     string `json:"rank"`
+	// Request is the id that the caller gave its request, or empty.
+	Request string `json:"request,omitempty"`
 	// Sender and Sequence identify the attempt.
 	Sender   string `json:"sender"`
 	Sequence uint64 `json:"sequence"`
@@ -80,6 +88,8 @@
 
 // Load is what a node tells about its upstream with each answer.
 type Load struct {
+	// Slowdown is how much longer than usual work takes at the upstream; zero where it is not known.
+	Slowdown float64 `json:"slowdown,omitempty"`
 	// Latency is the mean service time of recent requests.
 	Latency time.Duration `json:"latency"`
 	Queued  int           `json:"queued"`
@@ -137,18 +147,23 @@
 		refusal, _ := json.Marshal(wireRefusal(*outcome.Refusal))
 		resp.Header.SetBytesV(headerRefusal, refusal)
 	}
+	if outcome.Arrived {
+		resp.Header.Set(headerArrived, "1")
+	}
 	if outcome.Spent {
 		resp.Header.Set(headerSpent, "1")
 	}
 	resp.Header.Set(headerEcho, a.echo())
 	resp.Header.Set(headerUsed, strconv.FormatInt(int64(outcome.Used), 10))
 	load := outcome.Load
-	resp.Header.Set(headerLoad, fmt.Sprintf("%d %d %d %d", load.Running, load.Queued, load.Slots, load.Latency))
+	resp.Header.Set(headerLoad, fmt.Sprintf("%d %d %d %d %.2f", load.Running, load.Queued, load.Slots, load.Latency, load.Slowdown))
 }
 
 // Outcome is how an attempt ended.
 type Outcome struct {
-	Load Load
+	// Arrived is true where the upstream got the request, also if it has not run it.
+	Arrived bool
+	Load    Load
 	// Lost is true when an idempotent attempt's outcome did not arrive.
 	Lost bool
 	// Refusal is nil when the upstream has answered.
@@ -159,6 +174,11 @@
 	Used time.Duration
 }
 
+// Reached reports whether an upstream has got the request, or may have.
+func (o *Outcome) Reached() bool {
+	return o.Arrived || o.Lost
+}
+
 // unseal reads the outcome from a peer's answer and removes the headers between nodes from it. It
 // reports false when the answer belongs to another attempt.
 func unseal(a *Attempt, resp *fasthttp.Response) (Outcome, bool) {
@@ -168,6 +188,7 @@
 	outcome := Outcome{Load: parseLoad(string(resp.Header.Peek(headerLoad)))}
 	used, _ := strconv.ParseInt(string(resp.Header.Peek(headerUsed)), 10, 64)
 	outcome.Used = time.Duration(used)
+	outcome.Arrived = len(resp.Header.Peek(headerArrived)) > 0
 	outcome.Spent = len(resp.Header.Peek(headerSpent)) > 0
 	if refusal := resp.Header.Peek(headerRefusal); len(refusal) > 0 {
 		var wire wireRefusal
@@ -177,7 +198,7 @@
 		typed := refuser.Refusal(wire)
 		outcome.Refusal = &typed
 	}
-	for _, name := range []string{headerEcho, headerLoad, headerUsed, headerSpent, headerRefusal} {
+	for _, name := range []string{headerArrived, headerEcho, headerLoad, headerUsed, headerSpent, headerRefusal} {
 		resp.Header.Del(name)
 	}
 	return outcome, true
@@ -187,7 +208,7 @@
 func parseLoad(text string) Load {
 	var load Load
 	var latency int64
-	if _, err := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency); err != nil {
+	if _, err := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency, &load.Slowdown); err != nil {
 		return Load{}
 	}
 	load.Latency = time.Duration(latency)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -180,7 +180,7 @@
 	if errors.Is(err, forwarder.ErrCancelled) {
 		reason = refuser.ReasonCancelled
 	}
-	return Outcome{Lost: true, Refusal: refuser.Unknown(reason, err.Error())}
+	return Outcome{Arrived: true, Lost: true, Refusal: refuser.Unknown(reason, err.Error())}
 }
 
 // question asks a node about an attempt.
@@ -221,7 +221,7 @@
 }
 
 func unknown(a *Attempt, detail string) Outcome {
-	return Outcome{Lost: a.Idempotent, Refusal: refuser.Unknown(refuser.ReasonOutcomeUnknown, detail)}
+	return Outcome{Arrived: true, Lost: a.Idempotent, Refusal: refuser.Unknown(refuser.ReasonOutcomeUnknown, detail)}
 }
 
 func (c *Carrier) isReplaced(to gossiper.Member) bool {
@@ -303,16 +303,16 @@
 
 // ServeResolve answers a peer's question about an attempt. It waits for a running one as long as
 // the question says.
-func ServeResolve(key *signer.Signer, clock timekeeper.Clock, isOwn func(incarnation uint64) bool, r Resolver, ctx *fasthttp.RequestCtx) {
-	body := ctx.Request.Body()
+func ServeResolve(key *signer.Signer, clock timekeeper.Clock, isOwn func(incarnation uint64) bool, r Resolver, req *fasthttp.Request, resp *fasthttp.Response) {
+	body := req.Body()
 	var q question
-	signature := string(ctx.Request.Header.Peek(headerSignature))
+	signature := string(req.Header.Peek(headerSignature))
 	if !key.VerifyHex(signature, purposeResolve, body) || json.Unmarshal(body, &q) != nil {
-		refuser.New(refuser.ReasonUnauthorized, ErrUnsigned.Error()).Write(&ctx.Response)
+		refuser.New(refuser.ReasonUnauthorized, ErrUnsigned.Error()).Write(resp)
 		return
 	}
 	if !isOwn(q.Incarnation) {
-		ctx.Response.Header.Set(headerState, string(StateOtherIncarnation))
+		resp.Header.Set(headerState, string(StateOtherIncarnation))
 		return
 	}
 	id := recorder.ID{Sender: strings.Clone(q.Sender), Sequence: q.Sequence}
@@ -321,8 +321,8 @@
 		waitFor(clock, done, min(q.Wait, resolveWait))
 		state, answer, _ = r.Resolve(id)
 	}
-	ctx.Response.Header.Set(headerState, string(state))
-	ctx.Response.SetBody(answer)
+	resp.Header.Set(headerState, string(state))
+	resp.SetBody(answer)
 }
 
 func waitFor(clock timekeeper.Clock, done <-chan struct{}, limit time.Duration) {
--- a/internal/dispatcher/headers.go
+++ b/internal/dispatcher/headers.go
@@ -1,9 +1,7 @@
 package dispatcher
 
 import (
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -16,8 +14,6 @@
 	// HeaderIdempotencyKey names a request that a caller may repeat (IETF draft
 	// idempotency-key-header).
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderTimeout shortens the route's deadline, in decimal seconds.
-	HeaderTimeout = "Request-Timeout"
 )
 
 const maxKeyBytes = 255
@@ -49,23 +45,23 @@
 	}
 }
 
-// read takes the headers by which a caller chooses.
-func (c *Call) read(now time.Time, req *fasthttp.Request) *refuser.Refusal {
+// readKey takes the idempotency key.
+func (c *Call) readKey(req *fasthttp.Request) *refuser.Refusal {
 	c.Key = strings.Trim(string(req.Header.Peek(HeaderIdempotencyKey)), `" `)
 	if len(c.Key) > maxKeyBytes {
 		return refuser.New(refuser.ReasonBadRequest, "the idempotency key is longer than 255 bytes")
 	}
-	text := string(req.Header.Peek(HeaderTimeout))
-	if text == "" {
-		return nil
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(seconds > 0 && seconds < 1e6) {
-		return refuser.New(refuser.ReasonBadRequest, "Request-Timeout: want decimal seconds above zero")
-	}
-	shorter := now.Add(time.Duration(seconds * float64(time.Second)))
-	if shorter.Before(c.Deadline) {
-		c.Deadline = shorter
-	}
 	return nil
 }
+
+// pathOf returns the path of the request as it was sent, without the query.
+func pathOf(req *fasthttp.Request) string {
+	target := string(req.Header.RequestURI())
+	if _, rest, found := strings.Cut(target, "://"); found && !strings.HasPrefix(target, "/") {
+		// The absolute form of RFC 9112, section 3.2.2.
+		_, path, _ := strings.Cut(rest, "/")
+		target = "/" + path
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -15,69 +15,134 @@
 
 const (
 	hedgeQuantile = 0.98
+	maxHedgeTries = 3
 	minHedgeDelay = 5 * time.Millisecond
 )
 
-// latencies estimates the high quantile of each service's answers.
+// latencies estimates the high quantile of each route's answers.
 type latencies struct {
-	mu       sync.Mutex
-	services map[string]*quantiler.Estimate
+	mu     sync.Mutex
+	routes map[string]*quantiler.Estimate
 }
 
-func (l *latencies) of(service string) *quantiler.Estimate {
+func (l *latencies) of(call *Call) *quantiler.Estimate {
+	key := call.Service + "/" + call.Route
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.services == nil {
-		l.services = make(map[string]*quantiler.Estimate)
+	if l.routes == nil {
+		l.routes = make(map[string]*quantiler.Estimate)
 	}
-	estimate, ok := l.services[service]
+	estimate, ok := l.routes[key]
 	if !ok {
 		estimate = quantiler.New(hedgeQuantile)
-		l.services[service] = estimate
+		l.routes[key] = estimate
 	}
 	return estimate
 }
 
-// hedge is a second try that starts when the first takes unusually long.
+// hedge is a second try that starts when the first is overdue or its upstream has turned slow.
 type hedge struct {
-	cancel  context.CancelFunc
-	ctx     context.Context
+	call    *Call
+	exclude []string
 	outcome chan carrier.Outcome
+	req     *fasthttp.Request
 	resp    *fasthttp.Response
+	// stopFirst cancels the first try.
+	stopFirst context.CancelFunc
+	target    string
+	ctx       context.Context
 
 	mu      sync.Mutex
 	over    bool
 	started bool
 }
 
-// tryHedged makes a try, and a second one at another target if the first has no answer after the
-// service's high quantile. The first good answer wins and the other try is cancelled.
-func (d *Dispatcher) tryHedged(ctx context.Context, call *Call, target gossiper.Member, failed []string, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
-	delay := d.latencies.of(call.Service).Value()
-	// Calls that other calls make are not hedged, because hedges at each level would multiply. An own
-	// attempt changes the request while it runs, so that it can't be copied.
-	if !call.Idempotent || call.Depth > 0 || delay == 0 || target.Name == d.Self {
-		return d.try(ctx, call, target, req, resp)
+// hedges are the second tries that may be begun, by the node of the first.
+type hedges struct {
+	mu       sync.Mutex
+	byTarget map[string]map[*hedge]struct{}
+}
+
+func (h *hedges) add(one *hedge) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byTarget == nil {
+		h.byTarget = make(map[string]map[*hedge]struct{})
+	}
+	if h.byTarget[one.target] == nil {
+		h.byTarget[one.target] = make(map[*hedge]struct{})
+	}
+	h.byTarget[one.target][one] = struct{}{}
+}
+
+func (h *hedges) remove(one *hedge) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.byTarget[one.target], one)
+	if len(h.byTarget[one.target]) == 0 {
+		delete(h.byTarget, one.target)
+	}
+}
+
+func (h *hedges) at(target string) []*hedge {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []*hedge
+	for one := range h.byTarget[target] {
+		all = append(all, one)
+	}
+	return all
+}
+
+// Slow takes a node's word that its upstream has turned slow: calls that wait for it try elsewhere.
+func (d *Dispatcher) Slow(target string) {
+	d.Targets.Slow(target)
+	for _, h := range d.hedges.at(target) {
+		go d.runHedge(h, meter.RetrySlow)
+	}
+}
+
+// tryHedged makes a try, and a second one at another target if the first is overdue or its upstream
+// turns slow. The first good answer wins and the other try is cancelled.
+func (d *Dispatcher) tryHedged(ctx context.Context, call *Call, j *Journey, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
+	// Calls that other calls make are not hedged, because hedges at each level would multiply.
+	if !call.Idempotent || call.Depth > 0 || j.Arrivals+1 >= call.Attempts {
+		return d.try(ctx, call, target, optional, req, resp)
 	}
 	first, stopFirst := context.WithCancel(ctx)
 	defer stopFirst()
-	h := &hedge{outcome: make(chan carrier.Outcome, 1)}
-	h.ctx, h.cancel = context.WithCancel(ctx)
-	defer h.cancel()
-	exclude := append([]string{target.Name}, failed...)
-	timer := d.Clock.AfterFunc(max(delay, minHedgeDelay), func() { d.runHedge(h, call, exclude, req, stopFirst) })
-	defer timer.Stop()
-	outcome := d.try(first, call, target, req, resp)
+	second, stopSecond := context.WithCancel(ctx)
+	defer stopSecond()
+	h := &hedge{
+		call: call, ctx: second, exclude: append([]string{target.Name}, j.failed...),
+		outcome: make(chan carrier.Outcome, 1), req: &fasthttp.Request{}, resp: &fasthttp.Response{},
+		stopFirst: stopFirst, target: target.Name,
+	}
+	req.CopyTo(h.req)
+	d.hedges.add(h)
+	defer d.hedges.remove(h)
+	if delay := d.latencies.of(call).Value(); delay > 0 {
+		timer := d.Clock.AfterFunc(max(delay, minHedgeDelay), func() {
+			d.Targets.Overdue(h.target)
+			d.runHedge(h, meter.RetryHedge)
+		})
+		defer timer.Stop()
+	}
+	outcome := d.try(first, call, target, optional, req, resp)
 	if !h.finish() {
 		return outcome
 	}
+	j.Hedged = true
 	if isGood(&outcome, resp) {
 		return outcome
 	}
-	second := <-h.outcome
-	if isGood(&second, h.resp) {
+	other := <-h.outcome
+	if other.Reached() {
+		j.Arrivals++
+	}
+	if isGood(&other, h.resp) {
 		h.resp.CopyTo(resp)
-		return second
+		return other
 	}
 	return outcome
 }
@@ -94,34 +159,51 @@
 	return h.started
 }
 
-// begin copies the request for the second try, unless the first is over.
-func (h *hedge) begin(req *fasthttp.Request) (*fasthttp.Request, bool) {
+// begin reports whether the second try is to be made: the first is not over and no other one has begun.
+func (h *hedge) begin() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.over {
-		return nil, false
+	if h.over || h.started {
+		return false
 	}
 	h.started = true
-	copied := &fasthttp.Request{}
-	req.CopyTo(copied)
-	h.resp = &fasthttp.Response{}
-	return copied, true
+	return true
 }
 
-func (d *Dispatcher) runHedge(h *hedge, call *Call, exclude []string, req *fasthttp.Request, stopFirst context.CancelFunc) {
-	target, ok := d.Targets.Pick(call.Service, exclude)
-	if !ok || target.Name == d.Self || !d.Retries.Spend(call.Neighbour) {
+// runHedge makes the second try if the budget allows and a target takes it at once.
+func (d *Dispatcher) runHedge(h *hedge, reason meter.RetryReason) {
+	if !d.Retries.Spend(h.call.Neighbour) {
+		d.Meter.RetryRefused(meter.RetryRefusalBudget)
 		return
 	}
-	copied, ok := h.begin(req)
-	if !ok {
+	if !h.begin() {
+		d.Retries.Refund(h.call.Neighbour)
 		return
 	}
-	d.Meter.Retried(meter.RetryHedge)
-	outcome := d.try(h.ctx, call, target, copied, h.resp)
+	var outcome carrier.Outcome
+	for range maxHedgeTries {
+		target, ok := d.Targets.Pick(h.call.Service, h.exclude)
+		if !ok {
+			outcome.Refusal = noUpstream()
+			break
+		}
+		h.exclude = append(h.exclude, target.Name)
+		outcome = d.try(h.ctx, h.call, target.Member, true, h.req, h.resp)
+		if outcome.Reached() || !isHandBack(&outcome) {
+			break
+		}
+	}
+	if outcome.Reached() {
+		d.Meter.Retried(reason)
+	} else {
+		d.Retries.Refund(h.call.Neighbour)
+	}
 	good := isGood(&outcome, h.resp)
+	if good {
+		d.Meter.Event("hedges_won")
+	}
 	h.outcome <- outcome
 	if good {
-		stopFirst()
+		h.stopFirst()
 	}
 }
--- /dev/null
+++ b/internal/dispatcher/journey.go
@@ -0,0 +1,206 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/meter"
+	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/router"
+)
+
+// Journey is the way of one call through its tries.
+type Journey struct {
+	// Arrivals is the number of tries that an upstream got.
+	Arrivals int
+	// HandBacks is the number of tries that a node handed back.
+	HandBacks int
+	// Hedged is true where a second try was begun beside the first.
+	Hedged bool
+	// Target is the node of the last try.
+	Target string
+	// Tries is the number of tries, hedges left out.
+	Tries int
+
+	// busy are the nodes that have handed the call back.
+	busy []string
+	// failed are the nodes that it is not sent to again.
+	failed []string
+}
+
+// run makes tries until one is final.
+func (d *Dispatcher) run(ctx context.Context, call *Call, j *Journey, req *fasthttp.Request, resp *fasthttp.Response) *refuser.Refusal {
+	d.Retries.Earn(call.Neighbour)
+	var outcome carrier.Outcome
+	for {
+		choice, optional, ok := d.choose(call, j)
+		if !ok {
+			if j.Tries == 0 {
+				outcome.Refusal = noUpstream()
+			}
+			break
+		}
+		j.Tries++
+		j.Target = choice.Name
+		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
+		if outcome.Reached() {
+			j.Arrivals++
+		}
+		reason, again := d.again(call, &outcome, resp)
+		if !again || !d.mayRetry(call, j, &outcome) {
+			break
+		}
+		j.note(choice.Name, &outcome)
+		d.Meter.Retried(reason)
+	}
+	d.finish(call, &outcome, resp)
+	return outcome.Refusal
+}
+
+// choose picks the next target. The attempt is optional while the call has others to go to.
+func (d *Dispatcher) choose(call *Call, j *Journey) (choice router.Choice, optional, ok bool) {
+	if j.HandBacks < maxHandBacks {
+		exclude := append(append([]string(nil), j.failed...), j.busy...)
+		if choice, ok := d.Targets.Pick(call.Service, exclude); ok {
+			return choice, choice.Others > 0 || len(j.busy) > 0, true
+		}
+	}
+	choice, ok = d.Targets.Pick(call.Service, j.failed)
+	return choice, false, ok
+}
+
+// note books a try that is followed by another.
+func (j *Journey) note(target string, outcome *carrier.Outcome) {
+	switch {
+	case isHandBack(outcome):
+		j.HandBacks++
+		j.busy = append(j.busy, target)
+	case !isConnectionFault(outcome):
+		j.failed = append(j.failed, target)
+	}
+}
+
+func isHandBack(outcome *carrier.Outcome) bool {
+	return outcome.Refusal != nil && outcome.Refusal.Reason == refuser.ReasonBusy
+}
+
+func noUpstream() *refuser.Refusal {
+	return refuser.Later(refuser.ReasonNoUpstream, noUpstreamRetry, "no server of the service is ready")
+}
+
+func (d *Dispatcher) try(ctx context.Context, call *Call, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
+	resp.Reset()
+	attempt := carrier.Attempt{
+		Call:       call.ID,
+		Caller:     call.Caller,
+		Chain:      call.Chain,
+		Depth:      call.Depth,
+		Idempotent: call.Idempotent,
+		Key:        call.Key,
+		Neighbour:  call.Neighbour,
+		Optional:   optional,
+		Rank:       call.Rank,
+		Request:    call.Request,
+		Service:    call.Service,
+	}
+	d.Targets.Sent(target.Name)
+	outcome := d.Sender.Send(ctx, target, attempt, req, resp, call.Deadline)
+	d.Targets.Learn(target.Name, outcome.Load, isFailure(&outcome, resp))
+	return outcome
+}
+
+// isFailure reports whether the outcome speaks against the target.
+func isFailure(outcome *carrier.Outcome, resp *fasthttp.Response) bool {
+	if outcome.Refusal == nil {
+		return isErrorAnswer(resp)
+	}
+	if isConnectionFault(outcome) {
+		return false
+	}
+	switch outcome.Refusal.Reason {
+	case refuser.ReasonBusy, refuser.ReasonCancelled, refuser.ReasonDeadline, refuser.ReasonPoison,
+		refuser.ReasonQuarantined, refuser.ReasonQueueFull:
+		return false
+	default:
+		return true
+	}
+}
+
+// isConnectionFault reports whether the attempt never reached the target although the target is
+// well: the connection was lost or went silent, and the target has barred the attempt since.
+func isConnectionFault(outcome *carrier.Outcome) bool {
+	refusal := outcome.Refusal
+	return refusal != nil && refusal.IsNotRun() && refusal.Reason == refuser.ReasonUpstreamLost
+}
+
+func isErrorAnswer(resp *fasthttp.Response) bool {
+	switch resp.StatusCode() {
+	case fasthttp.StatusInternalServerError, fasthttp.StatusBadGateway, fasthttp.StatusServiceUnavailable,
+		fasthttp.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+// again reports whether a further try could help and is safe, and why.
+func (d *Dispatcher) again(call *Call, outcome *carrier.Outcome, resp *fasthttp.Response) (meter.RetryReason, bool) {
+	refusal := outcome.Refusal
+	switch {
+	case refusal == nil:
+		return meter.RetryFailed, call.Idempotent && isErrorAnswer(resp)
+	case refusal.Reason == refuser.ReasonBusy:
+		return meter.RetryHandedBack, true
+	case refusal.IsNotRun():
+		return meter.RetryNotRun, isLocalRefusal(refusal.Reason)
+	default:
+		return meter.RetryFailed, call.Idempotent && outcome.Lost && refusal.Reason != refuser.ReasonCancelled
+	}
+}
+
+// isLocalRefusal reports whether the reason holds for one node only. A refusal for want of room is
+// the judgement of the service's queues: another try would only add to the flood.
+func isLocalRefusal(reason refuser.Reason) bool {
+	switch reason {
+	case refuser.ReasonDraining, refuser.ReasonNoUpstream, refuser.ReasonQuarantined, refuser.ReasonShed,
+		refuser.ReasonUpstreamLost:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayRetry reports whether the call can have another try. One that reached no upstream costs nothing
+// of the budget.
+func (d *Dispatcher) mayRetry(call *Call, j *Journey, outcome *carrier.Outcome) bool {
+	switch {
+	case outcome.Spent:
+		d.Meter.RetryRefused(meter.RetryRefusalNested)
+	case j.Tries >= maxTries || j.Arrivals >= call.Attempts:
+		d.Meter.RetryRefused(meter.RetryRefusalTries)
+	case !d.Clock.Now().Before(call.Deadline):
+		d.Meter.RetryRefused(meter.RetryRefusalDeadline)
+	case outcome.Reached() && !d.Retries.Spend(call.Neighbour):
+		d.Meter.RetryRefused(meter.RetryRefusalBudget)
+	default:
+		return true
+	}
+	return false
+}
+
+func (d *Dispatcher) finish(call *Call, outcome *carrier.Outcome, resp *fasthttp.Response) {
+	failed := outcome.Refusal != nil || isErrorAnswer(resp)
+	if failed && call.Parent != "" {
+		d.FailedBelow(call.Parent)
+	}
+	if outcome.Refusal == nil {
+		total := d.Clock.Now().Sub(call.Started)
+		if !failed {
+			d.latencies.of(call).Observe(total)
+		}
+		d.Meter.Answered(call.Service, call.Rank, total, total-outcome.Used)
+	}
+}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -31,23 +31,35 @@
 		timekeeper.Sleep(ctx, e.Clock, apartPause)
 		instance, running, alone = e.enter(x)
 	}
+	if instance == "" {
+		e.release(w)
+		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
+	}
 	if !alone {
 		e.release(w)
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonQuarantined, "another request that was part of a crash runs here")}
 	}
-	e.Stamp(&x.Attempt, x.Request, x.Deadline)
+	if !x.Attempt.Idempotent {
+		// What has begun to run is finished, so that its outcome can be asked for.
+		ctx = context.WithoutCancel(ctx)
+	}
+	out := &fasthttp.Request{}
+	x.Request.Header.CopyTo(&out.Header)
+	out.SetBodyRaw(x.Request.Body())
+	e.Stamp(&x.Attempt, out, instance, x.Deadline)
 	started := e.Clock.Now()
-	err := e.Upstream.Do(ctx, x.Request, x.Response, x.Deadline)
+	err := e.Upstream.Do(ctx, out, x.Response, x.Deadline)
 	used := e.Clock.Now().Sub(started)
-	outcome := carrier.Outcome{Used: used}
+	outcome := carrier.Outcome{Arrived: !errors.Is(err, forwarder.ErrNotSent), Used: used}
 	if err != nil {
 		outcome.Refusal = e.explain(ctx, instance, err)
 		outcome.Lost = x.Attempt.Idempotent && !outcome.Refusal.IsNotRun()
+		x.Response.Reset()
 	}
 	if err == nil {
 		e.exonerate(x)
 	}
-	e.leave(x, w, used, resultOf(x.Response, err), running)
+	e.leave(x, w, used, e.resultOf(x.Response, err), running)
 	return outcome
 }
 
@@ -67,11 +79,15 @@
 
 // enter notes that the attempt runs. It returns the upstream's instance and the running requests.
 // It reports false when the request and one that runs here were both part of a crash: such requests
-// run apart, so that the next crash tells which of them caused it.
+// run apart, so that the next crash tells which of them caused it. The instance is empty where the
+// upstream serves another service by now.
 func (e *Executor) enter(x *Execution) (instance string, running int, alone bool) {
 	fingerprint := e.fingerprint(x)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.announcement.Service != x.Attempt.Service {
+		return "", 0, true
+	}
 	if e.Quarantiner.IsSuspect(fingerprint) {
 		for _, other := range e.inFlight {
 			if other != fingerprint && e.Quarantiner.IsSuspect(other) {
@@ -94,9 +110,11 @@
 	e.applyLimit()
 }
 
-func resultOf(resp *fasthttp.Response, err error) limiter.Result {
+func (e *Executor) resultOf(resp *fasthttp.Response, err error) limiter.Result {
 	if err != nil {
-		if errors.Is(err, forwarder.ErrCancelled) {
+		// An upstream that reports its load and sheds below its slots is ill, not full: fewer requests
+		// at once would not help.
+		if errors.Is(err, forwarder.ErrCancelled) || errors.Is(err, ErrShed) {
 			return limiter.ResultAnswered
 		}
 		return limiter.ResultFailed
@@ -118,10 +136,17 @@
 			e.OnDown(instance)
 		}
 		return refuser.New(refuser.ReasonNoUpstream, "the upstream takes no connection")
+	case errors.Is(err, ErrShed):
+		return refuser.Later(refuser.ReasonShed, sweepInterval, "the upstream has no room")
+	case errors.Is(err, ErrMisdirected):
+		e.OnDown(instance)
+		return refuser.New(refuser.ReasonNoUpstream, "another instance has the upstream's address")
 	case errors.Is(err, forwarder.ErrTimeout):
 		return refuser.Unknown(refuser.ReasonDeadline, "the upstream did not answer before the deadline")
 	case errors.Is(err, forwarder.ErrCancelled):
 		return refuser.Unknown(refuser.ReasonCancelled, "the caller went away")
+	case errors.Is(err, forwarder.ErrForeign):
+		return refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream's answer belongs to another request or is not its own")
 	case errors.Is(err, forwarder.ErrUnframed):
 		return refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream's answer has no length")
 	default:
--- a/internal/formserver/form.go
+++ b/internal/formserver/form.go
@@ -55,8 +55,10 @@
 	{Name: "services", Title: "Services", Columns: []column{
 		{kindText, "Name", "name"},
 		{kindText, "Neighbour", "neighbour"},
+		{kindText, "Health path", "health-path"},
 	}},
 	{Name: "routes", Title: "Routes", Columns: []column{
+		{kindText, "Name", "name"},
 		{kindText, "Host", "host"},
 		{kindList, "Methods", "methods"},
 		{kindText, "Path prefix", "path-prefix"},
@@ -96,8 +98,10 @@
 	f.values[budgetField] = strconv.Itoa(document.Budgets.ControlBytesPerSecond)
 	for _, s := range sections {
 		var rows []map[string]any
-		if err := json.Unmarshal(lists[s.Name], &rows); err != nil {
-			return nil, err
+		if list, ok := lists[s.Name]; ok {
+			if err := json.Unmarshal(list, &rows); err != nil {
+				return nil, err
+			}
 		}
 		f.rows[s.Name] = len(rows)
 		for i, row := range rows {
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -13,10 +13,12 @@
 // conn is one connection with its buffers.
 type conn struct {
 	net.Conn
-	opened time.Time
-	reader *bufio.Reader
-	used   time.Time
-	writer *bufio.Writer
+	// keepAlive is how long the connection may be idle as the other end says; zero where it does not.
+	keepAlive time.Duration
+	opened    time.Time
+	reader    *bufio.Reader
+	used      time.Time
+	writer    *bufio.Writer
 }
 
 func newConn(raw net.Conn, now time.Time) *conn {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +24,7 @@
 // receiver may have got the request.
 var (
 	ErrCancelled = merry.Sentinel("cancelled")
+	ErrForeign   = merry.Sentinel("answers to other requests")
 	ErrLost      = merry.Sentinel("connection lost")
 	ErrNotSent   = merry.Sentinel("not sent")
 	ErrOverdue   = merry.Sentinel("answer overdue")
@@ -40,6 +43,8 @@
 
 // Lengths that the HTTP library reports for bodies without a length.
 const (
+	// maxForeign bounds how many answers are read in search of the own.
+	maxForeign = 3
 	// chunkedLength is that of a body in chunks.
 	chunkedLength = -1
 	// unframedLength is that of a body that only the end of the stream bounds.
@@ -54,6 +59,7 @@
 	maxAge      time.Duration
 	maxBody     int
 	maxIdleTime time.Duration
+	unframed    bool
 
 	mu     sync.Mutex
 	closed bool
@@ -73,6 +79,11 @@
 	return func(p *Pool) { p.maxBody = limit }
 }
 
+// WithUnframed takes answers without a length: such a body is whole when the stream ends in order.
+func WithUnframed() Option {
+	return func(p *Pool) { p.unframed = true }
+}
+
 // New returns a pool of connections to address.
 func New(address netip.AddrPort, clock timekeeper.Clock, options ...Option) *Pool {
 	p := &Pool{
@@ -95,12 +106,17 @@
 
 // Exchange is one request with the place for its answer.
 type Exchange struct {
+	// Accept reports whether an answer belongs to the request; nil takes every answer. One that does
+	// not is skipped.
+	Accept   func(header *fasthttp.ResponseHeader) bool
 	Deadline time.Time
 	// Fresh asks for a connection of its own that is closed afterwards.
 	Fresh bool
 	// Overdue is called when Patience has passed without a byte of the answer. It returns how long to
 	// wait until the next call, or zero to give up. It is not called where it is nil.
 	Overdue func() time.Duration
+	// MaxIdle bounds how long the connection may have been idle; zero for the pool's bound.
+	MaxIdle time.Duration
 	// Patience is how long an answer's first byte usually takes at most.
 	Patience time.Duration
 	Request  *fasthttp.Request
@@ -133,10 +149,29 @@
 		_ = c.Close()
 		return nil
 	}
+	c.keepAlive = keepAliveOf(x.Response)
 	p.put(c)
 	return nil
 }
 
+// keepAlivePart is the part of the time that the other end keeps an idle connection for which it is
+// used.
+const keepAlivePart = 0.7
+
+// keepAliveOf returns how long the connection may be idle by the answer's Keep-Alive field, or zero.
+func keepAliveOf(resp *fasthttp.Response) time.Duration {
+	for parameter := range strings.SplitSeq(string(resp.Header.Peek(fasthttp.HeaderKeepAlive)), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+			return time.Duration(keepAlivePart * seconds * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 func (p *Pool) exchange(c *conn, x *Exchange, now time.Time) error {
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		return err
@@ -156,12 +191,28 @@
 // readAnswer reads one whole answer. A body that only the end of the stream bounds is an error,
 // because nobody can tell whether it is whole.
 func (p *Pool) readAnswer(c *conn, x *Exchange) error {
+	for range maxForeign {
+		if err := p.readOne(c, x); err != nil {
+			return err
+		}
+		if x.Accept == nil || x.Accept(&x.Response.Header) {
+			return nil
+		}
+		if x.Response.ConnectionClose() {
+			return ErrForeign
+		}
+		x.Response.Reset()
+	}
+	return ErrForeign
+}
+
+func (p *Pool) readOne(c *conn, x *Exchange) error {
 	header := &x.Response.Header
 	for {
 		if err := header.Read(c.reader); err != nil {
 			return err
 		}
-		if header.StatusCode() != fasthttp.StatusContinue {
+		if header.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
 	}
@@ -170,7 +221,7 @@
 		return nil
 	}
 	framing := header.ContentLength()
-	if framing == unframedLength {
+	if framing == unframedLength && !p.unframed {
 		return ErrUnframed
 	}
 	if err := x.Response.ReadBody(c.reader, p.maxBody); err != nil {
@@ -216,7 +267,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return fmt.Errorf("%w: %s", ErrCancelled, p.address)
-	case errors.Is(err, ErrOverdue), errors.Is(err, ErrUnframed):
+	case errors.Is(err, ErrOverdue), errors.Is(err, ErrUnframed), errors.Is(err, ErrForeign):
 		return fmt.Errorf("%s: %w", p.address, err)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return fmt.Errorf("%w: %s", ErrTimeout, p.address)
@@ -232,7 +283,7 @@
 		if c == nil {
 			break
 		}
-		if p.isFit(c, now) {
+		if p.isFit(c, now, x.MaxIdle) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -245,8 +296,14 @@
 	return newConn(raw, now), nil
 }
 
-func (p *Pool) isFit(c *conn, now time.Time) bool {
-	if now.Sub(c.opened) > p.maxAge || now.Sub(c.used) > p.maxIdleTime {
+func (p *Pool) isFit(c *conn, now time.Time, maxIdle time.Duration) bool {
+	if maxIdle == 0 {
+		maxIdle = p.maxIdleTime
+	}
+	if c.keepAlive > 0 {
+		maxIdle = min(maxIdle, c.keepAlive)
+	}
+	if now.Sub(c.opened) > p.maxAge || now.Sub(c.used) > maxIdle {
 		return false
 	}
 	return c.isClean()
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -247,6 +248,13 @@
 	}
 }
 
+// AddSeeds adds addresses to try where no other member can be reached.
+func (g *Gossiper) AddSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = append(slices.Clone(g.seeds), seeds...)
+}
+
 // Leave tells the others that the member goes on purpose.
 func (g *Gossiper) Leave() {
 	g.mu.Lock()
@@ -278,6 +286,25 @@
 	return m.Member, true
 }
 
+// Record is a member with the time for which its status has held.
+type Record struct {
+	Member
+	Age time.Duration
+}
+
+// Records returns every record with its age, sorted by name.
+func (g *Gossiper) Records() []Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	records := make([]Record, 0, len(g.members))
+	for _, name := range g.sortedNames() {
+		m := g.members[name]
+		records = append(records, Record{Member: m.Member, Age: now.Sub(m.since)})
+	}
+	return records
+}
+
 // Members returns every record, sorted by name.
 func (g *Gossiper) Members() []Member {
 	g.mu.Lock()
--- a/internal/gossiper/member.go
+++ b/internal/gossiper/member.go
@@ -67,6 +67,8 @@
 	Service  string          `cbor:"9,keyasint,omitempty" json:"service,omitempty"`
 	Slots    int             `cbor:"10,keyasint,omitempty" json:"slots,omitempty"`
 	Upstream announcer.State `cbor:"11,keyasint,omitempty" json:"upstream,omitempty"`
+	// DiskID identifies the disk of a node that can be a control replica.
+	DiskID string `cbor:"12,keyasint,omitempty" json:"disk-id,omitempty"`
 }
 
 // IsServing reports whether the member can be sent new requests for its service.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -43,6 +43,7 @@
 	lastCut     time.Time
 	limit       float64
 	recent      float64
+	reported    bool
 	samples     int
 	slots       int
 	starting    bool
@@ -59,6 +60,7 @@
 func (l *Limiter) Restart() {
 	*l = Limiter{
 		limit:    math.Max(minLimit, float64(l.slots)/slowStartPart),
+		reported: l.reported,
 		slots:    l.slots,
 		starting: true,
 	}
@@ -70,6 +72,13 @@
 	l.limit = math.Min(l.limit, float64(max(1, slots)))
 }
 
+// Reported tells the limiter that the upstream reports its load. Then slow answers and failures are no
+// reason for a lower limit: an upstream that has no room says so, and fewer requests at once don't mend
+// another fault.
+func (l *Limiter) Reported() {
+	l.reported = true
+}
+
 // Limit returns how many requests may run at once; it is at least 1 and at most the slots.
 func (l *Limiter) Limit() int {
 	limit := int(l.limit)
@@ -94,6 +103,10 @@
 		failed = 1
 	}
 	l.failureRate += failureSmoothing * (failed - l.failureRate)
+	if l.reported {
+		l.raise(running)
+		return
+	}
 	if result == ResultFailed {
 		l.cut(now, minLimit)
 		return
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,9 +16,11 @@
 
 // The reasons for which an attempt is made again.
 const (
-	RetryFailed RetryReason = "idempotent-failed"
-	RetryHedge  RetryReason = "hedge"
-	RetryNotRun RetryReason = "not-run"
+	RetryFailed     RetryReason = "idempotent-failed"
+	RetryHandedBack RetryReason = "handed-back"
+	RetryHedge      RetryReason = "hedge"
+	RetryNotRun     RetryReason = "not-run"
+	RetrySlow       RetryReason = "slow-upstream"
 )
 
 // RetryRefusal names why an attempt was not made again although it had failed.
@@ -43,7 +45,7 @@
 	for _, reason := range refuser.Reasons() {
 		m.refusals(reason)
 	}
-	for _, reason := range []RetryReason{RetryFailed, RetryHedge, RetryNotRun} {
+	for _, reason := range []RetryReason{RetryFailed, RetryHandedBack, RetryHedge, RetryNotRun, RetrySlow} {
 		m.retries(reason)
 	}
 	for _, reason := range []RetryRefusal{RetryRefusalBudget, RetryRefusalDeadline, RetryRefusalNested, RetryRefusalTries} {
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -3,11 +3,11 @@
 
 import (
 	"encoding/json"
-	"math"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 )
 
 // Reason names the cause of a refusal. Reasons are kebab-case and label a metric counter each.
@@ -16,6 +16,7 @@
 // The reasons for which a request is refused.
 const (
 	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonBusy           Reason = "busy"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDeadline       Reason = "deadline"
 	ReasonDraining       Reason = "draining"
@@ -29,6 +30,8 @@
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonQueueFull      Reason = "queue-full"
 	ReasonBadRequest     Reason = "bad-request"
+	ReasonRequestTimeout Reason = "request-timeout"
+	ReasonShed           Reason = "shed"
 	ReasonUnauthorized   Reason = "unauthorized"
 	ReasonUpstreamFailed Reason = "upstream-failed"
 	ReasonUpstreamLost   Reason = "upstream-lost"
@@ -37,10 +40,10 @@
 // Reasons returns every reason in alphabetical order.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBadRequest, ReasonBodyTooLarge, ReasonCancelled, ReasonDeadline, ReasonDraining,
+		ReasonBadRequest, ReasonBodyTooLarge, ReasonBusy, ReasonCancelled, ReasonDeadline, ReasonDraining,
 		ReasonHeaderTooLarge, ReasonKeyReused, ReasonNoDocument, ReasonNoRoute, ReasonNoUpstream,
-		ReasonOutcomeUnknown, ReasonPoison, ReasonQuarantined, ReasonQueueFull, ReasonUnauthorized,
-		ReasonUpstreamFailed, ReasonUpstreamLost,
+		ReasonOutcomeUnknown, ReasonPoison, ReasonQuarantined, ReasonQueueFull, ReasonRequestTimeout,
+		ReasonShed, ReasonUnauthorized, ReasonUpstreamFailed, ReasonUpstreamLost,
 	}
 }
 
@@ -97,14 +100,24 @@
 		return fasthttp.StatusRequestEntityTooLarge
 	case ReasonHeaderTooLarge:
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case ReasonKeyReused, ReasonPoison:
+	case ReasonKeyReused:
 		return fasthttp.StatusUnprocessableEntity
 	case ReasonNoRoute:
 		return fasthttp.StatusNotFound
 	case ReasonUnauthorized:
 		return fasthttp.StatusUnauthorized
+	case ReasonRequestTimeout:
+		return fasthttp.StatusRequestTimeout
 	case ReasonDeadline:
+		if r.IsNotRun() {
+			return fasthttp.StatusServiceUnavailable
+		}
 		return fasthttp.StatusGatewayTimeout
+	case ReasonCancelled:
+		if r.IsNotRun() {
+			return fasthttp.StatusServiceUnavailable
+		}
+		return fasthttp.StatusBadGateway
 	case ReasonOutcomeUnknown, ReasonUpstreamFailed, ReasonUpstreamLost:
 		return fasthttp.StatusBadGateway
 	default:
@@ -126,12 +139,16 @@
 
 // Write replaces resp by the refusal. Retry-After is in whole seconds, rounded up.
 func (r *Refusal) Write(resp *fasthttp.Response) {
+	r.WriteWith(resp, interpreter.Native{}.FormatRetryAfter)
+}
+
+// WriteWith replaces resp by the refusal, with Retry-After as format writes it.
+func (r *Refusal) WriteWith(resp *fasthttp.Response, format func(time.Duration) string) {
 	resp.Reset()
 	resp.SetStatusCode(r.Status())
 	resp.Header.SetContentType(ContentType)
 	if r.RetryAfter > 0 {
-		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
-		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+		resp.Header.Set(fasthttp.HeaderRetryAfter, format(r.RetryAfter))
 	}
 	problem := Problem{
 		Title:  "request refused",
--- a/internal/relayer/admin.go
+++ b/internal/relayer/admin.go
@@ -30,7 +30,7 @@
 		Incarnation: n.incarnation,
 		Members:     n.gossiper.Members(),
 		Name:        n.settings.Name,
-		Version:     n.version(),
+		Version:     n.documentVersion(),
 	}
 	if n.register.acceptor != nil {
 		status.DiskID = n.register.acceptor.DiskID()
@@ -38,6 +38,13 @@
 	return status
 }
 
+func (n *Node) documentVersion() uint64 {
+	if value := n.register.Local(); value != nil {
+		return value.Version
+	}
+	return 0
+}
+
 // reporter implements administrator.Reporter.
 type reporter struct {
 	node *Node
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -13,28 +14,34 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/hintreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 )
 
 const (
 	datagramHeaderBytes = 28
 	idleTimeout         = time.Minute
-	readTimeout         = 30 * time.Second
-	syncBytes           = 1000
-	syncInterval        = 20 * time.Second
-	syncPause           = 2 * time.Second
-	syncStartInterval   = 100 * time.Millisecond
+	largestBody         = 1 << 30
+	// peerHeaderBytes is the room for the headers between nodes.
+	peerHeaderBytes   = 4096
+	readTimeout       = 30 * time.Second
+	syncBytes         = 1000
+	syncInterval      = 20 * time.Second
+	syncPause         = 2 * time.Second
+	syncStartInterval = 100 * time.Millisecond
 )
 
 // Start opens the listeners and starts the duties. On an error nothing stays open.
 func (n *Node) Start() error {
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	n.started = n.clock.Now()
 	if err := n.listen(); err != nil {
 		stop()
 		return err
 	}
-	n.duty(func() { n.watcher.Run(ctx) })
+	n.duty(func() { n.prober.Run(ctx) })
+	n.duty(func() { n.maintain(ctx) })
 	n.duty(func() { n.receive() })
 	n.duty(func() { every(ctx, gossiper.TickInterval, n.gossiper.Tick) })
 	n.duty(func() { every(ctx, executor.SweepInterval, n.executor.Sweep) })
@@ -63,35 +70,38 @@
 	}
 }
 
+// endpoint is an address that the node serves, by the HTTP library's server or by its own listener.
 type endpoint struct {
 	address netip.AddrPort
 	field   string
 	handler fasthttp.RequestHandler
+	own     *listener.Listener
 }
 
 func (n *Node) listen() error {
 	endpoints := []endpoint{
-		{n.settings.CallerAddress, "caller-address", n.serveCaller},
-		{n.settings.PeerAddress, "peer-address", n.servePeer},
-		{n.settings.AdminAddress, "admin-address", n.administrator.Serve},
-		{n.settings.AnnounceAddress, "announce-address", n.serveAnnouncement},
+		{address: n.settings.CallerAddress, field: "caller-address", own: n.newListener(n.serveCaller, n.callerLimits)},
+		{address: n.settings.PeerAddress, field: "peer-address", own: n.newListener(n.servePeer, n.peerLimits)},
+		{address: n.settings.AdminAddress, field: "admin-address", handler: n.administrator.Serve},
+		{address: n.settings.AnnounceAddress, field: "announce-address", handler: n.serveAnnouncement},
 	}
+	endpoints = slices.DeleteFunc(endpoints, func(one endpoint) bool { return !one.address.IsValid() })
 	var opened []net.Listener
 	undo := func() {
-		for _, listener := range opened {
-			_ = listener.Close()
+		for _, socket := range opened {
+			_ = socket.Close()
 		}
 		if n.socket != nil {
 			_ = n.socket.Close()
 		}
 	}
 	for _, one := range endpoints {
-		listener, err := net.Listen("tcp", one.address.String())
+		socket, err := net.Listen("tcp", one.address.String())
 		if err != nil {
 			undo()
 			return merry.Prepend(err, one.field)
 		}
-		opened = append(opened, listener)
+		opened = append(opened, socket)
 	}
 	control, err := net.Listen("tcp", n.settings.ControlAddress.String())
 	if err != nil {
@@ -106,6 +116,11 @@
 	}
 	n.listeners = opened
 	for i, one := range endpoints {
+		if one.own != nil {
+			n.entries = append(n.entries, one.own)
+			n.duty(func() { one.own.Serve(opened[i]) })
+			continue
+		}
 		server := n.newServer(one.handler)
 		n.servers = append(n.servers, server)
 		n.duty(func() { _ = server.Serve(opened[i]) })
@@ -114,6 +129,44 @@
 	return nil
 }
 
+func (n *Node) newListener(handle listener.Handler, limits func() listener.Limits) *listener.Listener {
+	return listener.New(listener.Config{Handle: handle, Limits: limits, Refuse: n.refuseUnread})
+}
+
+// callerLimits returns what callers may send, by the document in force and the settings.
+func (n *Node) callerLimits() listener.Limits {
+	limits := n.peerLimits()
+	limits.MaxBodyBytes, limits.MaxHeaderBytes = n.settings.MaxBodyBytes, n.settings.MaxHeaderBytes
+	document := n.current()
+	if document == nil {
+		return limits
+	}
+	set := document.Limits
+	limits.HeaderTimeout = positive(set.HeaderTimeout.Std(), limits.HeaderTimeout)
+	limits.IdleTimeout = positive(set.IdleTimeout.Std(), limits.IdleTimeout)
+	limits.MaxBodyBytes = positive(set.MaxBodyBytes, limits.MaxBodyBytes)
+	limits.MaxHeaderBytes = positive(set.MaxHeaderBytes, limits.MaxHeaderBytes)
+	return limits
+}
+
+// peerLimits returns what other nodes may send: a caller's request with the headers between nodes.
+func (n *Node) peerLimits() listener.Limits {
+	return listener.Limits{
+		HeaderTimeout:  readTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxBodyBytes:   largestBody,
+		MaxHeaderBytes: n.settings.MaxHeaderBytes + peerHeaderBytes,
+	}
+}
+
+// positive returns the value if it is set, or else the default.
+func positive[T int | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
 func (n *Node) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		CloseOnShutdown:               true,
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -15,6 +15,7 @@
 
 // Methods between nodes.
 const (
+	methodSlow     = "slow"
 	methodClaim    = "claim"
 	methodCrash    = "crash"
 	methodInnocent = "innocent"
@@ -32,6 +33,9 @@
 	messenger *messenger.Messenger
 	self      string
 	siblings  func(service string) []gossiper.Member
+	member    func(name string) (gossiper.Member, bool)
+	// slow is told of the own upstream.
+	slow func(node string)
 }
 
 // Pull implements executor.Links.
@@ -56,6 +60,27 @@
 	l.tellSiblings(acquittal.Service, methodInnocent, acquittal)
 }
 
+// ReportSlow implements executor.Links.
+func (l *links) ReportSlow(ctx context.Context, entries []string) {
+	for _, entry := range entries {
+		if entry == l.self {
+			l.slow(l.self)
+			continue
+		}
+		m, ok := l.member(entry)
+		if !ok {
+			continue
+		}
+		// An entry that does not hear of it waits for its own timer.
+		_ = l.messenger.Notify(ctx, m.Control, messenger.PurposeBinding, methodSlow, slowNotice{Node: l.self})
+	}
+}
+
+// slowNotice tells that the upstream beside a node has turned slow.
+type slowNotice struct {
+	Node string `json:"node"`
+}
+
 // tellSiblings sends a message to the other nodes of a service and waits a short time for them.
 func (l *links) tellSiblings(service, method string, params any) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
@@ -125,6 +150,10 @@
 		n.executor.Reserve(p)
 		return empty{}, nil
 	})
+	handle(m, methodSlow, func(_ context.Context, p slowNotice) (empty, error) {
+		n.dispatcher.Slow(p.Node)
+		return empty{}, nil
+	})
 	handle(m, methodCrash, func(_ context.Context, p quarantiner.Crash) (empty, error) {
 		n.quarantiner.Report(p)
 		return empty{}, nil
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -28,9 +28,12 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/hintreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
+	"github.com/marigoldrelay/marigoldrelay/internal/prober"
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/recorder"
 	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
@@ -39,7 +42,6 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
-	"github.com/marigoldrelay/marigoldrelay/internal/watcher"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
@@ -86,22 +88,53 @@
 	registrar       *registrar.Registrar
 	router          *router.Router
 	upstream        *localUpstream
-	watcher         *watcher.Watcher
+	entries         []*listener.Listener
+	interpreter     Interpreter
+	parse           func(text []byte) (*validator.Document, error)
+	policy          router.Policy
+	prober          *prober.Prober
 
 	duties    sync.WaitGroup
 	listeners []net.Listener
 	servers   []*fasthttp.Server
 	socket    *net.UDPConn
+	leaving   atomic.Bool
+	lineMu    sync.Mutex
+	lines     lineBudget
+	started   time.Time
 	stop      context.CancelFunc
 	tracker   *conntracker.Tracker
 }
 
 // inForce is the document that the node follows.
 type inForce struct {
+	// document is nil where the register holds none yet.
 	document *validator.Document
 	// value is the register's value, or nil for the document that the settings name.
-	value   *replicator.Value
-	version uint64
+	value *replicator.Value
+}
+
+// Interpreter reads and writes what callers and upstreams say in headers.
+type Interpreter interface {
+	FormatRetryAfter(d time.Duration) string
+	ReadAnswer(header *fasthttp.ResponseHeader) interpreter.Answer
+	ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error)
+	WriteHop(header *fasthttp.RequestHeader, hop interpreter.Hop)
+}
+
+// WithInterpreter replaces the project's own headers by those of a platform.
+func WithInterpreter(i Interpreter) Option {
+	return func(n *Node) { n.interpreter = i }
+}
+
+// WithParser replaces the parser of the document's text.
+func WithParser(parse func(text []byte) (*validator.Document, error)) Option {
+	return func(n *Node) { n.parse = parse }
+}
+
+// WithPolicy replaces the policy by which targets are picked.
+func WithPolicy(policy router.Policy) Option {
+	return func(n *Node) { n.policy = policy }
 }
 
 // Option changes a Node under construction.
@@ -125,6 +158,9 @@
 		meter:     meter.New(),
 		tracker:   conntracker.New(),
 	}
+	n.interpreter = interpreter.Native{}
+	n.parse = validator.Parse
+	n.policy = router.Weighted{}
 	n.peerOptions = []forwarder.Option{forwarder.WithMaxBody(settings.MaxBodyBytes + settings.MaxHeaderBytes)}
 	for _, option := range options {
 		option(n)
@@ -137,19 +173,20 @@
 	n.quarantiner = quarantiner.New(n.clock)
 	n.recorder = recorder.New(n.clock)
 	n.claims = claimer.NewTable(n.clock)
-	n.upstream = newLocalUpstream(n.clock, forwarder.WithMaxBody(settings.MaxBodyBytes))
-	n.watcher = watcher.New(n.clock)
-	n.router = router.New(n.clock, newRandom(), router.Weighted{}, settings.Region, settings.DataCentre)
-	if err := n.buildGossiper(); err != nil {
+	n.upstream = newLocalUpstream(n.clock, n.interpreter, func(load interpreter.Load) { n.executor.Report(load) },
+		forwarder.WithMaxBody(settings.MaxBodyBytes), forwarder.WithUnframed())
+	n.router = router.New(n.clock, newRandom(), n.policy, settings.Region, settings.DataCentre)
+	if err := n.buildRegister(); err != nil {
 		return nil, err
 	}
-	if err := n.buildRegister(); err != nil {
+	if err := n.buildGossiper(); err != nil {
 		return nil, err
 	}
 	n.buildCalls()
 	console := formserver.New(n.clock, n.register, secrets.AdminToken)
 	n.administrator = administrator.New(n.register, reporter{n}, secrets.AdminToken, console.Serve)
-	n.registrar = registrar.New(n.clock, n.announced)
+	n.registrar = registrar.NewWithLease(n.clock, settings.UpstreamLease.Std(), n.announced)
+	n.prober = prober.New(n.clock, n.meter, n.interpreter, probed{n})
 	n.hints = hintreader.New(n.clock, n.meter, func() hintreader.Observation {
 		status := n.executor.Status()
 		return hintreader.Observation{
@@ -189,6 +226,7 @@
 			Peer:        n.settings.PeerAddress,
 			Incarnation: n.incarnation,
 			Upstream:    announcer.StateGone,
+			DiskID:      n.register.diskID(),
 		},
 		Transport: n,
 	})
@@ -198,7 +236,10 @@
 func (n *Node) buildCalls() {
 	sender := fmt.Sprintf("%s.%x", n.settings.Name, n.incarnation)
 	n.carrier = carrier.New(n.clock, n.secrets.Key, sender, n.gossiper, n.meter, n.peerOptions...)
-	links := &links{messenger: n.messenger, self: n.settings.Name, siblings: n.router.Members}
+	links := &links{
+		messenger: n.messenger, self: n.settings.Name, siblings: n.router.Members,
+		member: n.gossiper.Member, slow: func(node string) { n.dispatcher.Slow(node) },
+	}
 	n.executor = executor.New(executor.Config{
 		Bytes:       n.bindingBytes,
 		Clock:       n.clock,
@@ -210,21 +251,27 @@
 		Recorder:    n.recorder,
 		Sender:      n.carrier,
 		Siblings:    &siblings{Router: n.router, gossiper: n.gossiper},
-		Stamp: func(a *carrier.Attempt, req *fasthttp.Request, deadline time.Time) {
+		Stamp: func(a *carrier.Attempt, req *fasthttp.Request, instance string, deadline time.Time) {
 			carrier.Stamp(n.secrets.Key, a, req, deadline)
+			n.interpreter.WriteHop(&req.Header, interpreter.Hop{
+				Caller: a.Caller, Instance: instance, Timeout: deadline.Sub(n.clock.Now()),
+			})
 		},
 		Upstream: n.upstream,
 	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
+		Caller:      n.service,
 		Claims:      claimer.New(n.clock, links, n),
 		Clock:       n.clock,
 		FailedBelow: n.executor.FailedBelow,
+		Finished:    n.finished,
+		Interpreter: n.interpreter,
 		Meter:       n.meter,
 		Name:        sender,
 		OpenContext: func(req *fasthttp.Request) (carrier.Context, bool) {
 			return carrier.OpenContext(n.secrets.Key, req)
 		},
-		Retries: budgeter.NewRetries(n.retryRatio),
+		Retries: budgeter.NewRetriesWithBurst(n.retryRatio, n.retryBurst),
 		Self:    n.settings.Name,
 		Sender:  &nearSender{carrier: n.carrier, executor: n.executor, self: n.settings.Name},
 		Targets: n.router,
@@ -243,11 +290,11 @@
 }
 
 func (n *Node) retryRatio(neighbour string) float64 {
-	current := n.document.Load()
+	current := n.current()
 	if current == nil {
 		return 0
 	}
-	for _, one := range current.document.Neighbours {
+	for _, one := range current.Neighbours {
 		if one.Name == neighbour {
 			return one.RetryRatio
 		}
@@ -255,6 +302,30 @@
 	return 0
 }
 
+const (
+	// ownRetryBurst is how many retries a node saves where the document sets no slack.
+	ownRetryBurst = 10
+	// slackPart is the part of the deployment's slack that the nodes share out among themselves.
+	slackPart = 0.6
+)
+
+// retryBurst returns how many retries the node may save up: its part of the deployment's slack.
+func (n *Node) retryBurst() float64 {
+	current := n.current()
+	if current == nil || current.Budgets.RetrySlack == 0 {
+		return ownRetryBurst
+	}
+	return max(1, slackPart*current.Budgets.RetrySlack/float64(max(1, n.router.Size())))
+}
+
+// service returns the service on this VM, or the empty string.
+func (n *Node) service() string {
+	if announced := n.registrar.Current().Service; announced != "" {
+		return announced
+	}
+	return n.settings.UpstreamService
+}
+
 // Owners implements claimer.Members.
 func (n *Node) Owners(service string) []gossiper.Member {
 	return n.router.Members(service)
@@ -270,27 +341,48 @@
 
 // Preset puts a document in force until the register has one.
 func (n *Node) Preset(document *validator.Document) {
-	n.apply(document, 0, nil)
+	n.apply(document, nil)
 }
 
-// apply puts a document in force unless a newer one is.
-func (n *Node) apply(document *validator.Document, version uint64, value *replicator.Value) bool {
+// apply puts a document in force unless a newer one is. The document is nil where the value holds none.
+func (n *Node) apply(document *validator.Document, value *replicator.Value) bool {
 	n.applying.Lock()
 	defer n.applying.Unlock()
 	old := n.document.Load()
-	if old != nil && old.version >= version {
+	if old != nil && (value == nil || value.Revision <= n.revision()) {
 		return false
 	}
-	n.document.Store(&inForce{document: document, value: value, version: version})
+	if document == nil && old != nil {
+		document = old.document
+	}
+	n.document.Store(&inForce{document: document, value: value})
+	if document != nil && (old == nil || old.document != document) {
+		n.configure(document)
+	}
+	if value != nil {
+		n.gossiper.SetVersion(value.Revision)
+		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
+			"replicas", len(value.Replicas))
+	}
+	return true
+}
+
+// configure makes the parts follow a document.
+func (n *Node) configure(document *validator.Document) {
 	n.executor.Configure(document)
 	n.dispatcher.Configure(document)
 	rate := float64(document.Budgets.ControlBytesPerSecond)
 	n.gossipBytes.SetRate(gossipPart * rate)
 	n.bindingBytes.SetRate(bindingPart * rate)
 	n.membershipBytes.SetRate(membershipPart * rate)
-	n.gossiper.SetVersion(version)
-	n.log.Info("A document is in force.", "version", version)
-	return true
+}
+
+// current returns the document in force, or nil.
+func (n *Node) current() *validator.Document {
+	if current := n.document.Load(); current != nil {
+		return current.document
+	}
+	return nil
 }
 
 // announced follows the upstream beside the node.
@@ -344,16 +436,7 @@
 
 // Drain refuses new work, tells the others, and waits until the requests in flight are done.
 func (n *Node) Drain() {
-	n.log.Info("Draining.")
-	self := n.gossiper.Self()
-	n.gossiper.SetUpstream(self.Service, self.Slots, announcer.StateDraining)
-	n.executor.Drain()
-	deadline := n.clock.Now().Add(drainTimeout)
-	time.Sleep(leaveTime)
-	for n.executor.Running() > 0 && n.clock.Now().Before(deadline) {
-		time.Sleep(drainPoll)
-	}
-	n.gossiper.Leave()
+	n.DrainFor(leaveTime, drainTimeout)
 	time.Sleep(leaveTime)
 }
 
@@ -364,6 +447,9 @@
 	for _, listener := range n.listeners {
 		_ = listener.Close()
 	}
+	for _, l := range n.entries {
+		l.Abort()
+	}
 	n.tracker.Cut()
 	n.messenger.Close()
 	n.carrier.Close()
@@ -388,6 +474,9 @@
 	for _, server := range n.servers {
 		closing.Go(func() { _ = server.ShutdownWithContext(ctx) })
 	}
+	for _, l := range n.entries {
+		closing.Go(func() { l.Close(ctx) })
+	}
 	closing.Wait()
 	n.stop()
 	_ = n.socket.Close()
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"time"
@@ -9,7 +10,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/marigoldrelay/marigoldrelay/internal/administrator"
 	"github.com/marigoldrelay/marigoldrelay/internal/asserter"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
@@ -23,6 +23,8 @@
 	methodAccept   = "accept"
 	methodDocument = "document"
 	methodPrepare  = "prepare"
+	methodPush     = "push"
+	methodQuery    = "query"
 )
 
 const (
@@ -48,7 +50,8 @@
 
 func (n *Node) buildRegister() error {
 	r := &register{node: n}
-	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x", n.settings.Name, n.incarnation), r)
+	// The wall clock can step back over a restart, so that the incarnation alone may not be new.
+	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, rand.Text()), r)
 	n.register = r
 	if n.settings.DataFolder == "" {
 		return nil
@@ -77,6 +80,20 @@
 	return reply, r.call(ctx, vm, methodAccept, request, &reply)
 }
 
+// Query implements replicator.Transport.
+func (r *register) Query(ctx context.Context, vm string, request replicator.QueryRequest) (replicator.QueryReply, error) {
+	var reply replicator.QueryReply
+	return reply, r.call(ctx, vm, methodQuery, request, &reply)
+}
+
+// diskID identifies the own disk; empty on a node without a data folder.
+func (r *register) diskID() string {
+	if r.acceptor == nil {
+		return ""
+	}
+	return r.acceptor.DiskID()
+}
+
 // close lets the data folder go.
 func (r *register) close() {
 	if r.acceptor != nil {
@@ -108,12 +125,22 @@
 		reply, err := r.acceptor.Accept(p)
 		return reply, wireError(err)
 	})
+	handle(m, methodQuery, func(_ context.Context, p replicator.QueryRequest) (replicator.QueryReply, error) {
+		if r.acceptor == nil {
+			return replicator.QueryReply{}, wireError(errNoReplica)
+		}
+		reply, err := r.acceptor.Query(p)
+		return reply, wireError(err)
+	})
 	handle(m, methodDocument, func(context.Context, empty) (pulled, error) {
 		local := r.Local()
 		if local == nil {
 			return pulled{}, nil
 		}
-		return pulled{local.Deployment, replicator.Pack(local.Text), local.Replicas, local.Version}, nil
+		return pack(local), nil
+	})
+	handle(m, methodPush, func(_ context.Context, p pulled) (empty, error) {
+		return empty{}, r.node.take(&p)
 	})
 }
 
@@ -122,9 +149,54 @@
 	Deployment string               `json:"deployment"`
 	Packed     []byte               `json:"packed"`
 	Replicas   []replicator.Replica `json:"replicas"`
+	Revision   uint64               `json:"revision"`
 	Version    uint64               `json:"version"`
 }
 
+func pack(value *replicator.Value) pulled {
+	return pulled{value.Deployment, replicator.Pack(value.Text), value.Replicas, value.Revision, value.Version}
+}
+
+// take puts a document from another node in force unless a newer one is.
+func (n *Node) take(p *pulled) error {
+	if p.Revision <= n.revision() {
+		return nil
+	}
+	text, err := replicator.Unpack(p.Packed)
+	if err != nil {
+		return err
+	}
+	return n.enforce(&replicator.Value{
+		Deployment: p.Deployment, Replicas: p.Replicas, Revision: p.Revision, Text: text, Version: p.Version,
+	})
+}
+
+const (
+	pushPause = 150 * time.Millisecond
+	pushTries = 4
+)
+
+// push sends a value that was chosen to every live member at once. A member that it does not reach
+// hears of the revision by gossip.
+func (n *Node) push(value *replicator.Value) {
+	document := pack(value)
+	for _, m := range n.gossiper.Members() {
+		if m.Name == n.settings.Name || m.Status >= gossiper.StatusDead {
+			continue
+		}
+		go func() {
+			for range pushTries {
+				err := n.messenger.Call(context.Background(), m.Control, messenger.PurposeConfiguration, methodPush, document, nil)
+				if err == nil {
+					return
+				}
+				n.meter.Event("pushes_failed")
+				time.Sleep(pushPause)
+			}
+		}()
+	}
+}
+
 func wireError(err error) error {
 	switch {
 	case err == nil:
@@ -143,7 +215,7 @@
 		return
 	}
 	if accepted := r.acceptor.Accepted(); accepted != nil {
-		r.proposer.Follow(accepted.Replicas)
+		r.proposer.Suppose(accepted.Replicas)
 	}
 }
 
@@ -162,18 +234,30 @@
 	r.prime()
 	value, version, err := r.proposer.Apply(ctx, change)
 	if value != nil {
-		err = errors.Join(err, r.node.enforce(value))
+		err = errors.Join(err, r.publish(value))
 	}
 	return version, err
 }
 
+// publish puts a chosen value in force here and sends it to the others if it is news.
+func (r *register) publish(value *replicator.Value) error {
+	isNews := value.Revision > r.node.revision()
+	if err := r.node.enforce(value); err != nil {
+		return err
+	}
+	if isNews {
+		r.node.push(value)
+	}
+	return nil
+}
+
 // Bootstrap implements administrator.Register.
 func (r *register) Bootstrap(ctx context.Context, change *replicator.Change) (*replicator.Value, error) {
 	value, err := r.proposer.Bootstrap(ctx, change)
 	if err != nil {
 		return nil, err
 	}
-	return value, r.node.enforce(value)
+	return value, r.publish(value)
 }
 
 // Local implements administrator.Register.
@@ -186,23 +270,40 @@
 
 // enforce puts a value of the register in force unless a newer one is.
 func (n *Node) enforce(value *replicator.Value) error {
-	document, err := validator.Parse([]byte(value.Text))
-	if !asserter.That(err == nil, "register-valid", "version %d: %v", value.Version, err) {
-		return err
-	}
 	if local := n.register.Local(); local != nil && local.Deployment != value.Deployment {
 		n.meter.Event("foreign_documents")
 		return fmt.Errorf("document of another deployment: %s, not %s", value.Deployment, local.Deployment)
 	}
-	if n.apply(document, value.Version, value) {
-		n.register.proposer.Follow(administrator.Replicas(document))
+	document, err := n.documentOf(value)
+	if err != nil {
+		return err
+	}
+	if n.apply(document, value) {
+		n.register.proposer.Follow(value.Replicas)
 	}
 	return nil
 }
 
+// documentOf returns the document of a value, or nil before the first one. The document in force is
+// not parsed again.
+func (n *Node) documentOf(value *replicator.Value) (*validator.Document, error) {
+	if value.Version == 0 {
+		return nil, nil
+	}
+	current := n.document.Load()
+	if current != nil && current.value != nil && current.value.Version == value.Version && current.value.Text == value.Text {
+		return current.document, nil
+	}
+	document, err := n.parse([]byte(value.Text))
+	if !asserter.That(err == nil, "register-valid", "version %d: %v", value.Version, err) {
+		return nil, err
+	}
+	return document, nil
+}
+
 // VersionSeen implements gossiper.Observer.
-func (n *Node) VersionSeen(from gossiper.Member, version uint64) {
-	if version <= n.version() {
+func (n *Node) VersionSeen(from gossiper.Member, revision uint64) {
+	if revision <= n.revision() {
 		return
 	}
 	select {
@@ -211,9 +312,10 @@
 	}
 }
 
-func (n *Node) version() uint64 {
-	if current := n.document.Load(); current != nil {
-		return current.version
+// revision returns the register's revision that is in force.
+func (n *Node) revision() uint64 {
+	if value := n.register.Local(); value != nil {
+		return value.Revision
 	}
 	return 0
 }
@@ -237,16 +339,7 @@
 	if err := n.messenger.Call(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, empty{}, &document); err != nil {
 		return err
 	}
-	if document.Version <= n.version() {
-		return nil
-	}
-	text, err := replicator.Unpack(document.Packed)
-	if err != nil {
-		return err
-	}
-	return n.enforce(&replicator.Value{
-		Deployment: document.Deployment, Replicas: document.Replicas, Text: text, Version: document.Version,
-	})
+	return n.take(&document)
 }
 
 // learn finds out, on a control replica, whether a value that it has accepted is chosen: its
@@ -258,7 +351,7 @@
 	}
 	every(ctx, learnInterval, func() {
 		accepted := acceptor.Accepted()
-		if accepted == nil || accepted.Version <= n.version() {
+		if accepted == nil || accepted.Revision <= n.revision() {
 			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, learnTimeout)
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -5,66 +5,53 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/administrator"
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
-	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // serveCaller answers a request from outside or from an upstream.
-func (n *Node) serveCaller(ctx *fasthttp.RequestCtx) {
-	watched, done := n.watcher.Watch(ctx.Conn())
-	defer done()
-	if refusal := n.dispatcher.Dispatch(watched, &ctx.Request, &ctx.Response); refusal != nil {
-		refusal.Write(&ctx.Response)
+func (n *Node) serveCaller(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	if refusal := n.dispatcher.Dispatch(ctx, req, resp); refusal != nil {
+		refusal.WriteWith(resp, n.interpreter.FormatRetryAfter)
 	}
 }
 
 // servePeer answers an attempt from another node or a question about one.
-func (n *Node) servePeer(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == carrier.ResolvePath {
-		carrier.ServeResolve(n.secrets.Key, n.clock, n.isOwnIncarnation, n.recorder, ctx)
+func (n *Node) servePeer(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	if string(req.Header.RequestURI()) == carrier.ResolvePath {
+		carrier.ServeResolve(n.secrets.Key, n.clock, n.isOwnIncarnation, n.recorder, req, resp)
 		return
 	}
-	attempt, err := carrier.Open(n.secrets.Key, &ctx.Request)
+	attempt, err := carrier.Open(n.secrets.Key, req)
 	if err != nil {
 		n.meter.Event("unsigned_attempts")
-		refuser.New(refuser.ReasonUnauthorized, err.Error()).Write(&ctx.Response)
+		refuser.New(refuser.ReasonUnauthorized, err.Error()).Write(resp)
 		return
 	}
-	outcome := n.executeFor(ctx, attempt)
-	carrier.Seal(attempt, &ctx.Response, outcome)
+	outcome := n.executeFor(ctx, attempt, req, resp)
+	carrier.Seal(attempt, resp, outcome)
 }
 
 func (n *Node) isOwnIncarnation(incarnation uint64) bool {
 	return incarnation == n.incarnation || incarnation == n.gossiper.Self().Incarnation
 }
 
-func (n *Node) executeFor(ctx *fasthttp.RequestCtx, attempt *carrier.Attempt) carrier.Outcome {
+func (n *Node) executeFor(ctx context.Context, attempt *carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	if !n.isOwnIncarnation(attempt.Incarnation) {
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the attempt is for an earlier start of this node")}
 	}
-	x := &executor.Execution{
+	return n.executor.Execute(ctx, &executor.Execution{
 		Attempt:  *attempt,
 		Deadline: n.clock.Now().Add(attempt.Timeout),
-		Request:  &ctx.Request,
-		Response: &ctx.Response,
-	}
-	if !attempt.Idempotent {
-		// The sender may have lost the connection and ask for the outcome on another.
-		return n.executor.Execute(context.Background(), x)
-	}
-	conn := ctx.Conn()
-	x.IsGone = func() bool { return forwarder.IsClosed(conn) }
-	watched, done := n.watcher.Watch(conn)
-	defer done()
-	return n.executor.Execute(watched, x)
+		Request:  req,
+		Response: resp,
+	})
 }
 
 // serveAnnouncement takes what the upstream beside the node says of itself.
@@ -86,40 +73,24 @@
 	administrator.WriteJSON(ctx, lease)
 }
 
-// serveError answers a request that the HTTP library could not read.
+// serveError answers a request that the HTTP library's server could not read.
 func (n *Node) serveError(ctx *fasthttp.RequestCtx, err error) {
+	n.refuseUnread(&ctx.Response, err)
+}
+
+// refuseUnread answers a request that can't be read.
+func (n *Node) refuseUnread(resp *fasthttp.Response, err error) {
 	reason := refuser.ReasonBadRequest
 	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
 	switch {
 	case errors.As(err, &small):
 		reason = refuser.ReasonHeaderTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		reason = refuser.ReasonBodyTooLarge
-		drain(ctx.Conn())
+	case errors.As(err, &network) && network.Timeout():
+		reason = refuser.ReasonRequestTimeout
 	}
 	n.meter.Refused(reason)
-	refuser.New(reason, "the request can't be read").Write(&ctx.Response)
-}
-
-const (
-	drainBytes = 64 << 20
-	drainPause = 100 * time.Millisecond
-	drainTotal = 2 * time.Second
-)
-
-// drain reads what a caller still sends, for a bounded time. A connection that is closed with unread
-// bytes is reset, and the caller would not see why it was refused.
-func drain(conn net.Conn) {
-	buffer := make([]byte, 64<<10)
-	started := time.Now()
-	for read := 0; read < drainBytes && time.Since(started) < drainTotal; {
-		if err := conn.SetReadDeadline(time.Now().Add(drainPause)); err != nil {
-			return
-		}
-		n, err := conn.Read(buffer)
-		read += n
-		if err != nil {
-			return
-		}
-	}
+	refuser.New(reason, "the request can't be read").Write(resp)
 }
--- a/internal/replicator/acceptor.go
+++ b/internal/replicator/acceptor.go
@@ -53,6 +53,19 @@
 	Promised Ballot `json:"promised"`
 }
 
+// QueryRequest asks a replica for what it has accepted, without a promise.
+type QueryRequest struct {
+	DiskID string `json:"disk-id"`
+	// Known is as in PrepareRequest.
+	Known Ballot `json:"known"`
+}
+
+// QueryReply tells what the replica has accepted.
+type QueryReply struct {
+	Accepted Ballot `json:"accepted"`
+	Value    *Value `json:"value,omitempty"`
+}
+
 type acceptance struct {
 	Ballot Ballot `json:"ballot"`
 	Value  *Value `json:"value"`
@@ -188,9 +201,25 @@
 	return AcceptReply{OK: true, Promised: a.promise}, nil
 }
 
+// Query tells what the replica has accepted.
+func (a *Acceptor) Query(request QueryRequest) (QueryReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.check(request.DiskID); err != nil {
+		return QueryReply{}, err
+	}
+	reply := QueryReply{Accepted: a.accepted.Ballot}
+	if a.accepted.Ballot != request.Known {
+		reply.Value = a.accepted.Value
+	}
+	return reply, nil
+}
+
 func (a *Acceptor) check(diskID string) error {
 	if a.broken != nil {
-		return a.broken
+		if err := a.repair(); err != nil {
+			return err
+		}
 	}
 	if diskID != a.diskID {
 		return fmt.Errorf("%w: asked for %q", ErrOtherDisk, diskID)
@@ -198,8 +227,24 @@
 	return nil
 }
 
-// store writes a record. After a failed write the replica answers nothing more until its process
-// starts again, because it can't know what the disk holds.
+// repair writes again what the replica has answered so far. The failed write was never answered, so
+// that it doesn't matter whether the disk holds it.
+func (a *Acceptor) repair() error {
+	if errors.Is(a.broken, errClosed) {
+		return a.broken
+	}
+	if err := a.write(recordPromise, a.promise); err != nil {
+		return a.broken
+	}
+	if err := a.write(recordAccepted, a.accepted); err != nil {
+		return a.broken
+	}
+	a.broken = nil
+	return nil
+}
+
+// store writes a record. After a failed write the replica answers nothing until a repair, because it
+// can't know what the disk holds.
 func (a *Acceptor) store(name string, value any) error {
 	if err := a.write(name, value); err != nil {
 		a.broken = merry.Prepend(err, "the replica's disk has failed")
--- a/internal/replicator/model_test.go
+++ b/internal/replicator/model_test.go
@@ -87,6 +87,13 @@
 	h.changes++
 	id := fmt.Sprintf("swap%d", h.changes)
 	_, version, err := h.proposer("p-"+id, h.replicas).Apply(context.Background(), change(id, h.newest, repaired))
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		// A change that got no clear answer came into force with this round.
+		h.changes++
+		id = fmt.Sprintf("swap%d", h.changes)
+		_, version, err = h.proposer("p-"+id, h.replicas).Apply(context.Background(), change(id, conflict.Current, repaired))
+	}
 	if err != nil {
 		t.Fatalf("swapping the disk of %s: %v", vm, err)
 	}
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -25,6 +25,8 @@
 	ErrNoMajority = merry.Sentinel("no majority of the control replicas answers")
 	// ErrNotBootstrapped is returned where there is no first version yet.
 	ErrNotBootstrapped = merry.Sentinel("there is no document yet")
+	// ErrVersion is wrapped by the error of a change whose chosen version is not above the current one.
+	ErrVersion = merry.Sentinel("the version is not above the current one")
 	// ErrBootstrapped is returned by Bootstrap where a replica already holds a value.
 	ErrBootstrapped = merry.Sentinel("a control replica already holds a document")
 	errOutbid       = merry.Sentinel("another round has a higher ballot")
@@ -58,6 +60,7 @@
 type Transport interface {
 	Accept(ctx context.Context, vm string, request AcceptRequest) (AcceptReply, error)
 	Prepare(ctx context.Context, vm string, request PrepareRequest) (PrepareReply, error)
+	Query(ctx context.Context, vm string, request QueryRequest) (QueryReply, error)
 }
 
 // Proposer makes rounds on behalf of one node. It is safe for concurrent use.
@@ -72,6 +75,8 @@
 	number uint64
 	// replicas is the newest set that the proposer knows.
 	replicas []Replica
+	// settled is true where the value that names the set is known to be chosen.
+	settled bool
 }
 
 // NewProposer returns a proposer; name must be of this node and its incarnation only.
@@ -84,6 +89,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.replicas = slices.Clone(replicas)
+	p.settled = true
+}
+
+// Suppose tells the proposer of replicas to begin with, of a value that may not be chosen.
+func (p *Proposer) Suppose(replicas []Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replicas = slices.Clone(replicas)
+	p.settled = false
 }
 
 func (p *Proposer) known() []Replica {
@@ -107,7 +121,10 @@
 
 // Read returns the newest value that is chosen.
 func (p *Proposer) Read(ctx context.Context) (*Value, error) {
-	return p.round(ctx, func(current *Value) (*Value, error) { return current, nil })
+	if value := p.query(ctx); value != nil {
+		return value, nil
+	}
+	return p.round(ctx, keep)
 }
 
 // Apply makes the change. A change whose id was applied before returns the value in force and the
@@ -122,18 +139,52 @@
 		if change.Base != current.Version {
 			return current, &ConflictError{Base: change.Base, Current: current.Version}
 		}
-		version = current.Version + 1
-		return current.next(change), nil
-	})
-	if err == nil && len(value.Previous) > 0 {
-		// A settling round that fails is made up for by the next round.
-		if settled, failure := p.Read(ctx); failure == nil {
-			value = settled
+		if change.Version > 0 && change.Version <= current.Version {
+			return current, fmt.Errorf("%w: %d after %d", ErrVersion, change.Version, current.Version)
 		}
+		successor := current.next(change)
+		version = successor.Version
+		return successor, nil
+	})
+	if err == nil {
+		value = p.settle(ctx, value)
 	}
 	return value, version, err
 }
 
+// Reconfigure moves the value that has the given revision to other replicas. A value that was changed
+// meanwhile is returned as it is.
+func (p *Proposer) Reconfigure(ctx context.Context, revision uint64, replicas []Replica) (*Value, error) {
+	value, err := p.round(ctx, func(current *Value) (*Value, error) {
+		if current.Revision != revision || sameReplicas(current.Replicas, replicas) {
+			return current, nil
+		}
+		return current.reconfigured(replicas), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return p.settle(ctx, value), nil
+}
+
+// settle ends a change of the set of replicas. A settling round that fails is made up for by the next
+// round.
+func (p *Proposer) settle(ctx context.Context, value *Value) *Value {
+	if len(value.Previous) == 0 {
+		return value
+	}
+	settled, err := p.round(ctx, keep)
+	if err != nil {
+		return value
+	}
+	return settled
+}
+
+// keep is the step of a round that changes nothing.
+func keep(current *Value) (*Value, error) {
+	return current, nil
+}
+
 // round repeats ballots until one is not outbid, as long as roundTime allows.
 func (p *Proposer) round(ctx context.Context, step func(*Value) (*Value, error)) (*Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, roundTime)
@@ -188,6 +239,7 @@
 		p.chosen = acceptance{Ballot: ballot, Value: value}
 	}
 	p.replicas = slices.Clone(value.Replicas)
+	p.settled = true
 }
 
 func (p *Proposer) held() acceptance {
@@ -385,11 +437,32 @@
 		return nil, ErrBootstrapped
 	}
 	empty := &Value{Deployment: strings.ToLower(rand.Text()), Replicas: change.Replicas}
-	first := empty.next(change)
-	if err := p.accept(ctx, ballot, first, quorumSets(first), change.Replicas); err != nil {
+	return p.begin(ctx, ballot, empty.next(change))
+}
+
+// Form makes the register on the given replicas, without a document. Every one of them must be
+// reachable and hold nothing.
+func (p *Proposer) Form(ctx context.Context, replicas []Replica) (*Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, roundTime)
+	defer cancel()
+	ballot := p.nextBallot()
+	replies := make(map[Replica]PrepareReply)
+	if err := p.prepareAll(ctx, ballot, replicas, replies); err != nil {
+		return nil, err
+	}
+	if newestOf(replies) != nil {
+		p.Suppose(replicas)
+		return p.round(ctx, keep)
+	}
+	return p.begin(ctx, ballot, &Value{Deployment: strings.ToLower(rand.Text()), Replicas: replicas, Revision: 1})
+}
+
+// begin has the first value accepted by all of its replicas.
+func (p *Proposer) begin(ctx context.Context, ballot Ballot, first *Value) (*Value, error) {
+	if err := p.accept(ctx, ballot, first, quorumSets(first), first.Replicas); err != nil {
 		return nil, err
 	}
-	p.Follow(first.Replicas)
+	p.hold(ballot, first)
 	return first, nil
 }
 
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -174,6 +174,18 @@
 	return reply, err
 }
 
+func (d *disks) Query(_ context.Context, vm string, request QueryRequest) (QueryReply, error) {
+	a, loseReply, err := d.reach(vm)
+	if err != nil {
+		return QueryReply{}, err
+	}
+	reply, err := a.Query(request)
+	if loseReply {
+		return QueryReply{}, errLost
+	}
+	return reply, err
+}
+
 func (d *disks) proposer(name string, replicas []Replica) *Proposer {
 	p := NewProposer(timekeeper.System{}, name, d)
 	p.Follow(replicas)
--- a/internal/replicator/value.go
+++ b/internal/replicator/value.go
@@ -33,8 +33,11 @@
 	Replicas []Replica `json:"replicas"`
 	// Results lists the last changes, the newest last.
 	Results []ChangeResult `json:"results"`
+	// Revision rises by one with each change of the document or of the replicas.
+	Revision uint64 `json:"revision"`
 	// Text is the document as the operator wrote it.
-	Text    string `json:"text"`
+	Text string `json:"text"`
+	// Version is that of the document; zero before the first one.
 	Version uint64 `json:"version"`
 }
 
@@ -60,10 +63,13 @@
 	// Base is the version that the change was made from.
 	Base uint64
 	// ID tells a change that is sent again from a new one.
-	ID       string
+	ID string
+	// Replicas is the new set of replicas; nil keeps the current one.
 	Replicas []Replica
 	Text     string
 	Time     time.Time
+	// Version is the version that the author has chosen; zero takes the next one.
+	Version uint64
 }
 
 // resultOf returns the version that a change with the id made before.
@@ -78,14 +84,14 @@
 
 // next returns the successor that the change makes.
 func (v *Value) next(change *Change) *Value {
-	successor := &Value{
-		Deployment: v.Deployment,
-		Replicas:   change.Replicas,
-		Text:       change.Text,
-		Version:    v.Version + 1,
+	successor := v.reconfigured(v.Replicas)
+	if change.Replicas != nil {
+		successor = v.reconfigured(change.Replicas)
 	}
-	if !sameReplicas(v.Replicas, change.Replicas) {
-		successor.Previous = v.Replicas
+	successor.Text = change.Text
+	successor.Version = v.Version + 1
+	if change.Version > 0 {
+		successor.Version = change.Version
 	}
 	successor.History = append(slices.Clone(v.History), Entry{
 		Author: change.Author, ChangeID: change.ID, Packed: Pack(change.Text), Time: change.Time, Version: successor.Version,
@@ -99,6 +105,18 @@
 	return successor
 }
 
+// reconfigured returns the successor with the same document on other replicas.
+func (v *Value) reconfigured(replicas []Replica) *Value {
+	successor := *v
+	successor.Previous = nil
+	successor.Replicas = replicas
+	successor.Revision++
+	if !sameReplicas(v.Replicas, replicas) {
+		successor.Previous = v.Replicas
+	}
+	return &successor
+}
+
 // settled returns the value without the set of replicas before it. A round that has it accepted by
 // majorities of both sets ends the change of the set: the old one is not needed any more.
 func (v *Value) settled() *Value {
--- /dev/null
+++ b/internal/router/cheapest.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Costs of a target, as the time that an answer would have to come sooner to make up for them.
+const (
+	distanceCost = 60 * time.Millisecond
+	failureCost  = 600 * time.Millisecond
+	fullCost     = 150 * time.Millisecond
+	loadCost     = 40 * time.Millisecond
+	// reportTime is for how long a target's word on its load is used.
+	reportTime = 250 * time.Millisecond
+	slowCost   = 250 * time.Millisecond
+	// jitterCost spreads the calls over targets that are alike.
+	jitterCost = 4 * time.Millisecond
+)
+
+// Cheapest picks the candidate at which an answer is expected soonest, with a price on the bytes that
+// leave the data centre. It answers upstreams that are slow for a part of a second at a time: their
+// nodes hand requests back, and the caller looks elsewhere for a while.
+type Cheapest struct{}
+
+// Pick implements Policy.
+func (Cheapest) Pick(candidates []Candidate, random *rand.Rand) int {
+	best, least := 0, time.Duration(0)
+	for i := range candidates {
+		cost := candidates[i].cost() + time.Duration(random.Int64N(int64(jitterCost)))
+		if i == 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// IsGlobal reports that the policy weighs the distance itself.
+func (Cheapest) IsGlobal() bool {
+	return true
+}
+
+func (c *Candidate) cost() time.Duration {
+	cost := time.Duration(c.Distance) * distanceCost
+	cost += time.Duration(c.FailureRate * float64(failureCost))
+	if c.Slow {
+		cost += slowCost
+	}
+	load := 0.0
+	if c.ReportAge < reportTime {
+		load = c.Reported
+	}
+	if c.Slots > 0 {
+		load = max(load, float64(c.Outstanding)/float64(c.Slots))
+	}
+	cost += time.Duration(load * load * float64(loadCost))
+	if load >= 1 {
+		cost += time.Duration(load * float64(fullCost))
+	}
+	return cost
+}
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -1,15 +1,30 @@
 package router
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Candidate is one upstream that a request can go to, with what the caller knows of it.
 type Candidate struct {
+	// Distance is 0 in the own data centre, 1 in the own region and 2 elsewhere.
+	Distance int
+	// FailureRate is the smoothed part of the calls that failed, from 0 to 1.
+	FailureRate float64
+	// Latency is the mean time of recent answers; zero where it is not known.
+	Latency time.Duration
 	// Name is the member's name.
 	Name string
 	// Outstanding is the number of own calls that wait for the target's answer.
 	Outstanding int
 	// Reported is the target's load as last reported: running and queued requests for each slot.
 	Reported float64
+	// ReportAge is how old that report is.
+	ReportAge time.Duration
+	// Slow is true where the target's upstream was said to be slow of late.
+	Slow bool
+	// Slots is the number of requests that the target's upstream runs at once; zero where not known.
+	Slots int
 	// Weight is from 0 to 1; a target that is slow or fails has a lower one.
 	Weight float64
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,12 @@
 	maxRest          = 10 * time.Second
 	minRest          = 500 * time.Millisecond
 	minWeight        = 0.02
+	// slowFactor is the slowdown from which an upstream counts as slow.
+	slowFactor = 2.0
+	// slowTime is for how long a target's word that it is slow is believed.
+	slowTime = 150 * time.Millisecond
+	// suspectTime is for how long a target whose answer is overdue is passed over.
+	suspectTime = 400 * time.Millisecond
 	// speedPower makes a straggler's part smaller than its speed: the tail is what it takes longest.
 	speedPower = 3
 )
@@ -31,8 +37,10 @@
 	latency     time.Duration
 	outstanding int
 	reported    float64
+	reportedAt  time.Time
 	rest        time.Duration
 	restUntil   time.Time
+	slowUntil   time.Time
 }
 
 // Router holds the targets of each service. It is safe for concurrent use.
@@ -92,7 +100,7 @@
 
 // Pick chooses a target for a first or further try. Members in exclude are not chosen. It reports
 // false when there is none.
-func (r *Router) Pick(service string, exclude []string) (gossiper.Member, bool) {
+func (r *Router) Pick(service string, exclude []string) (Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
@@ -101,15 +109,25 @@
 		usable = r.usable(service, exclude, now, true)
 	}
 	if len(usable) == 0 {
-		return gossiper.Member{}, false
+		return Choice{}, false
+	}
+	others := len(usable) - 1
+	if global, ok := r.policy.(interface{ IsGlobal() bool }); !ok || !global.IsGlobal() {
+		usable = r.nearest(usable)
 	}
-	usable = r.nearest(usable)
-	picked := usable[r.policy.Pick(r.candidates(usable), r.random)]
+	picked := usable[r.policy.Pick(r.candidates(usable, now), r.random)]
 	if picked.failures >= failuresToRest {
 		// One call probes a target that has rested; the others wait for its outcome.
 		picked.restUntil = now.Add(picked.rest)
 	}
-	return picked.Member, true
+	return Choice{Member: picked.Member, Others: others}, true
+}
+
+// Choice is a picked target.
+type Choice struct {
+	gossiper.Member
+	// Others is the number of further targets that could be picked.
+	Others int
 }
 
 // usable returns the service's targets that are not excluded and, unless resting is true, not
@@ -146,20 +164,37 @@
 	return kept
 }
 
-func (r *Router) candidates(targets []*target) []Candidate {
+func (r *Router) candidates(targets []*target, now time.Time) []Candidate {
 	typical := medianLatency(targets)
 	candidates := make([]Candidate, len(targets))
 	for i, t := range targets {
 		candidates[i] = Candidate{
+			Distance:    r.distance(t),
+			FailureRate: t.failureRate,
+			Latency:     t.latency,
 			Name:        t.Name,
 			Outstanding: t.outstanding,
 			Reported:    t.reported,
+			ReportAge:   now.Sub(t.reportedAt),
+			Slots:       t.Slots,
+			Slow:        now.Before(t.slowUntil),
 			Weight:      t.weight(typical),
 		}
 	}
 	return candidates
 }
 
+func (r *Router) distance(t *target) int {
+	switch {
+	case t.DataCentre == r.dataCentre:
+		return 0
+	case t.Region == r.region:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // medianLatency returns the lower median of the known latencies.
 func medianLatency(targets []*target) time.Duration {
 	var known []time.Duration
@@ -191,11 +226,12 @@
 func (r *Router) HandOn(service string, exclude []string) (gossiper.Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usable := r.nearest(r.usable(service, exclude, r.clock.Now(), false))
+	now := r.clock.Now()
+	usable := r.nearest(r.usable(service, exclude, now, false))
 	if len(usable) == 0 {
 		return gossiper.Member{}, false
 	}
-	return usable[Weighted{}.Pick(r.candidates(usable), r.random)].Member, true
+	return usable[Weighted{}.Pick(r.candidates(usable, now), r.random)].Member, true
 }
 
 // Reservation chooses another node of the service for a reservation. All are as likely, because a
@@ -221,6 +257,17 @@
 	return members
 }
 
+// Size returns the number of live targets with an upstream.
+func (r *Router) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := 0
+	for _, listed := range r.services {
+		size += len(listed)
+	}
+	return size
+}
+
 // Sent books a call that was sent to the target.
 func (r *Router) Sent(name string) {
 	r.mu.Lock()
@@ -240,11 +287,37 @@
 		return
 	}
 	t.outstanding--
+	now := r.clock.Now()
 	if load.Slots > 0 {
 		t.reported = float64(load.Running+load.Queued) / float64(load.Slots)
+		t.reportedAt = now
 		t.latency = load.Latency
 	}
-	t.learn(r.clock.Now(), failed)
+	if load.Slowdown > 0 {
+		t.slowUntil = time.Time{}
+	}
+	if load.Slowdown >= slowFactor {
+		t.slowUntil = now.Add(slowTime)
+	}
+	t.learn(now, failed)
+}
+
+// Slow notes that a target's upstream has turned slow.
+func (r *Router) Slow(name string) {
+	r.delay(name, slowTime)
+}
+
+// Overdue notes that an answer of the target is overdue.
+func (r *Router) Overdue(name string) {
+	r.delay(name, suspectTime)
+}
+
+func (r *Router) delay(name string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.targets[name]; ok {
+		t.slowUntil = r.clock.Now().Add(d)
+	}
 }
 
 func (t *target) learn(now time.Time, failed bool) {
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
+	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
@@ -25,6 +26,7 @@
 	largestBody           = 64 << 20
 	largestHeader         = 1 << 20
 	minTokenBytes         = 16
+	mostLosses            = 3
 	smallestHeader        = 1 << 10
 )
 
@@ -33,23 +35,38 @@
 
 // Settings is what one node is told at its start.
 type Settings struct {
-	AdminAddress    netip.AddrPort   `json:"admin-address"`
-	AdminTokenFile  string           `json:"admin-token-file"`
-	AnnounceAddress netip.AddrPort   `json:"announce-address"`
-	CallerAddress   netip.AddrPort   `json:"caller-address"`
-	ControlAddress  netip.AddrPort   `json:"control-address"`
-	DataCentre      string           `json:"data-centre"`
-	DataFolder      string           `json:"data-folder"`
-	DocumentFile    string           `json:"document-file"`
-	LogFormat       logger.Format    `json:"log-format"`
-	LogLevel        string           `json:"log-level"`
-	MaxBodyBytes    int              `json:"max-body-bytes"`
-	MaxHeaderBytes  int              `json:"max-header-bytes"`
-	Name            string           `json:"name"`
-	PeerAddress     netip.AddrPort   `json:"peer-address"`
-	PeerKeyFile     string           `json:"peer-key-file"`
-	Region          string           `json:"region"`
-	Seeds           []netip.AddrPort `json:"seeds"`
+	AdminAddress    netip.AddrPort `json:"admin-address"`
+	AdminTokenFile  string         `json:"admin-token-file"`
+	AnnounceAddress netip.AddrPort `json:"announce-address"`
+	// Bootstrap is true at the first start of the whole deployment, when no replica holds anything.
+	Bootstrap      bool             `json:"bootstrap"`
+	CallerAddress  netip.AddrPort   `json:"caller-address"`
+	ControlAddress netip.AddrPort   `json:"control-address"`
+	DataCentre     string           `json:"data-centre"`
+	DataFolder     string           `json:"data-folder"`
+	DocumentFile   string           `json:"document-file"`
+	LogFormat      logger.Format    `json:"log-format"`
+	LogLevel       string           `json:"log-level"`
+	MaxBodyBytes   int              `json:"max-body-bytes"`
+	MaxHeaderBytes int              `json:"max-header-bytes"`
+	Name           string           `json:"name"`
+	PeerAddress    netip.AddrPort   `json:"peer-address"`
+	PeerKeyFile    string           `json:"peer-key-file"`
+	Region         string           `json:"region"`
+	Seeds          []netip.AddrPort `json:"seeds"`
+	// SelfForming lets the register choose its replicas among the nodes with a data folder.
+	SelfForming bool `json:"self-forming"`
+	// TrustNetwork lets the node run without a shared key and a token, where the network alone keeps
+	// others out.
+	TrustNetwork bool `json:"trust-network"`
+	// ToleratedLosses is the number of replicas whose disks may be lost at once.
+	ToleratedLosses int `json:"tolerated-losses"`
+	// UpstreamAddress is where the upstream beside the node serves, if that is known beforehand.
+	UpstreamAddress netip.AddrPort `json:"upstream-address"`
+	// UpstreamLease is how long an announcement holds.
+	UpstreamLease validator.Duration `json:"upstream-lease"`
+	// UpstreamService is the service of the upstream beside the node, if that is known beforehand.
+	UpstreamService string `json:"upstream-service"`
 }
 
 var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$`)
@@ -76,6 +93,7 @@
 		LogLevel:       DefaultLogLevel,
 		MaxBodyBytes:   DefaultMaxBodyBytes,
 		MaxHeaderBytes: DefaultMaxHeaderBytes,
+		UpstreamLease:  validator.Duration(registrar.LeaseTime),
 	}
 	if err := validator.DecodeStrict(data, settings); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
@@ -105,12 +123,18 @@
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
-	if s.AdminTokenFile == "" {
+	if s.AdminTokenFile == "" && !s.TrustNetwork {
 		return fail("admin-token-file", "", "want the path of a file")
 	}
-	if s.PeerKeyFile == "" {
+	if s.PeerKeyFile == "" && !s.TrustNetwork {
 		return fail("peer-key-file", "", "want the path of a file")
 	}
+	if s.ToleratedLosses < 0 || s.ToleratedLosses > mostLosses {
+		return fail("tolerated-losses", s.ToleratedLosses, fmt.Sprintf("want 0 to %d", mostLosses))
+	}
+	if s.UpstreamLease.Std() <= 0 {
+		return fail("upstream-lease", s.UpstreamLease.Std(), "want more than 0s")
+	}
 	if s.MaxBodyBytes < 1 || s.MaxBodyBytes > largestBody {
 		return fail("max-body-bytes", s.MaxBodyBytes, fmt.Sprintf("want 1 to %d", largestBody))
 	}
@@ -139,17 +163,21 @@
 
 func (s *Settings) checkAddresses() error {
 	addresses := []struct {
-		field string
-		value netip.AddrPort
+		field    string
+		value    netip.AddrPort
+		optional bool
 	}{
-		{"admin-address", s.AdminAddress},
-		{"announce-address", s.AnnounceAddress},
-		{"caller-address", s.CallerAddress},
-		{"control-address", s.ControlAddress},
-		{"peer-address", s.PeerAddress},
+		{"admin-address", s.AdminAddress, false},
+		{"announce-address", s.AnnounceAddress, true},
+		{"caller-address", s.CallerAddress, true},
+		{"control-address", s.ControlAddress, false},
+		{"peer-address", s.PeerAddress, false},
 	}
 	seen := make(map[netip.AddrPort]string)
 	for _, address := range addresses {
+		if address.optional && !address.value.IsValid() {
+			continue
+		}
 		if !address.value.IsValid() || address.value.Port() == 0 || address.value.Addr().IsUnspecified() {
 			return fail(address.field, address.value, "want the IP and port that others reach, such as 10.0.0.1:8080")
 		}
@@ -172,15 +200,25 @@
 	Key        *signer.Signer
 }
 
-// LoadSecrets reads the shared key and the administration token. White space around them is cut.
+// publicKey stands in for a shared key where the settings name none. Then the sums between nodes show
+// that a message is whole, and not who has sent it.
+const publicKey = "marigoldrelay without a shared key"
+
+// LoadSecrets reads the shared key and the administration token. White space around them is cut. Without
+// a token file nobody can sign in to the administration API; without a key file the nodes trust their
+// network.
 func (s *Settings) LoadSecrets() (*Secrets, error) {
-	key, err := readSecret("peer-key-file", s.PeerKeyFile, signer.MinKeyBytes)
-	if err != nil {
-		return nil, err
+	key, token := []byte(publicKey), []byte(NewSecret())
+	var err error
+	if s.PeerKeyFile != "" {
+		if key, err = readSecret("peer-key-file", s.PeerKeyFile, signer.MinKeyBytes); err != nil {
+			return nil, err
+		}
 	}
-	token, err := readSecret("admin-token-file", s.AdminTokenFile, minTokenBytes)
-	if err != nil {
-		return nil, err
+	if s.AdminTokenFile != "" {
+		if token, err = readSecret("admin-token-file", s.AdminTokenFile, minTokenBytes); err != nil {
+			return nil, err
+		}
 	}
 	peers, err := signer.New(key)
 	if err != nil {
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -7,8 +7,10 @@
 
 // Document is the whole configuration of a deployment.
 type Document struct {
-	Budgets         Budgets          `json:"budgets"`
-	ControlReplicas []ControlReplica `json:"control-replicas"`
+	Budgets Budgets `json:"budgets"`
+	// ControlReplicas are the voters of the register; it finds them by itself where there are none.
+	ControlReplicas []ControlReplica `json:"control-replicas,omitempty"`
+	Limits          Limits           `json:"limits,omitzero"`
 	Neighbours      []Neighbour      `json:"neighbours"`
 	Ranks           []Rank           `json:"ranks"`
 	Routes          []Route          `json:"routes"`
@@ -19,6 +21,18 @@
 type Budgets struct {
 	// ControlBytesPerSecond bounds the control bytes that a node sends, with headers.
 	ControlBytesPerSecond int `json:"control-bytes-per-second"`
+	// RetrySlack is how many retries all nodes together may make for each service in a RetryWindow,
+	// beside the neighbours' ratios; zero leaves each node a small number of its own.
+	RetrySlack  float64  `json:"retry-slack,omitempty"`
+	RetryWindow Duration `json:"retry-window,omitempty"`
+}
+
+// Limits bounds what a caller may send and how long it may take. A zero leaves the node's default.
+type Limits struct {
+	HeaderTimeout  Duration `json:"header-timeout,omitempty"`
+	IdleTimeout    Duration `json:"idle-timeout,omitempty"`
+	MaxBodyBytes   int      `json:"max-body-bytes,omitempty"`
+	MaxHeaderBytes int      `json:"max-header-bytes,omitempty"`
 }
 
 // ControlReplica names one voter of the replicated register.
@@ -45,22 +59,63 @@
 	TargetWait Duration `json:"target-wait"`
 }
 
-// Route maps requests to a service.
+// Route maps requests to a service, or to several by weight.
 type Route struct {
+	// Attempts is the number of upstreams that one request may be sent to; zero for the default.
+	Attempts   int      `json:"attempts,omitempty"`
 	Deadline   Duration `json:"deadline"`
 	Host       string   `json:"host,omitempty"`
 	Idempotent bool     `json:"idempotent"`
-	Methods    []string `json:"methods"`
-	Neighbour  string   `json:"neighbour,omitempty"`
-	PathPrefix string   `json:"path-prefix"`
-	Rank       string   `json:"rank"`
-	Service    string   `json:"service"`
+	// Methods lists the methods that the route takes; empty for all.
+	Methods []string `json:"methods,omitempty"`
+	// Name tells the route in logs and metrics.
+	Name       string `json:"name,omitempty"`
+	Neighbour  string `json:"neighbour,omitempty"`
+	PathPrefix string `json:"path-prefix"`
+	Rank       string `json:"rank"`
+	Service    string `json:"service,omitempty"`
+	// Split shares the requests out by weight; it stands in place of Service.
+	Split []Part `json:"split,omitempty"`
+	// TargetLatency is the time within which an answer is of full use; zero where none is set.
+	TargetLatency Duration `json:"target-latency,omitempty"`
+}
+
+// Part is one service's part of a route's requests.
+type Part struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Services returns the names of the services that the route leads to.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, part := range r.Split {
+		names = append(names, part.Service)
+	}
+	return names
 }
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
-	Name      string `json:"name"`
-	Neighbour string `json:"neighbour"`
+	// HealthPath answers 200 while an upstream is well; empty for none.
+	HealthPath string `json:"health-path,omitempty"`
+	// MaxConnections bounds the connections to one upstream; zero for no bound.
+	MaxConnections int    `json:"max-connections,omitempty"`
+	Name           string `json:"name"`
+	Neighbour      string `json:"neighbour"`
+}
+
+// ServiceNamed returns the service with the name.
+func (d *Document) ServiceNamed(name string) (Service, bool) {
+	for _, service := range d.Services {
+		if service.Name == name {
+			return service, true
+		}
+	}
+	return Service{}, false
 }
 
 // RankIndex returns the position of the named rank, 0 being the most urgent.
@@ -73,17 +128,13 @@
 	return 0, false
 }
 
-// NeighbourOf returns the neighbour on whose account the route's calls are.
-func (d *Document) NeighbourOf(route *Route) string {
+// NeighbourOf returns the neighbour on whose account the route's calls to the service are.
+func (d *Document) NeighbourOf(route *Route, service string) string {
 	if route.Neighbour != "" {
 		return route.Neighbour
 	}
-	for _, service := range d.Services {
-		if service.Name == route.Service {
-			return service.Neighbour
-		}
-	}
-	return ""
+	found, _ := d.ServiceNamed(service)
+	return found.Neighbour
 }
 
 // Duration is a time.Duration written as a string such as "250ms".
--- a/internal/validator/matcher.go
+++ b/internal/validator/matcher.go
@@ -1,43 +1,45 @@
 package validator
 
 import (
+	"net"
+	"slices"
 	"sort"
 	"strings"
 )
 
 // Matcher finds the route of a request. It is immutable and safe for concurrent use.
 type Matcher struct {
-	byMethod map[string][]*Route
+	// byHost holds the routes of each host, those of any host under the empty one.
+	byHost map[string][]*Route
 }
 
 // NewMatcher returns a matcher of the document's routes. Among routes that match, one with a host
 // goes before one without, then the longest path prefix wins.
 func NewMatcher(document *Document) *Matcher {
-	byMethod := make(map[string][]*Route)
+	byHost := make(map[string][]*Route)
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		for _, method := range route.Methods {
-			byMethod[method] = append(byMethod[method], route)
-		}
+		host := strings.ToLower(route.Host)
+		byHost[host] = append(byHost[host], route)
 	}
-	for _, routes := range byMethod {
-		sort.SliceStable(routes, func(i, j int) bool { return goesBefore(routes[i], routes[j]) })
+	for _, routes := range byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
 	}
-	return &Matcher{byMethod: byMethod}
-}
-
-func goesBefore(a, b *Route) bool {
-	if (a.Host != "") != (b.Host != "") {
-		return a.Host != ""
-	}
-	return len(a.PathPrefix) > len(b.PathPrefix)
+	return &Matcher{byHost: byHost}
 }
 
 // Match returns the route of a request, or nil where none matches. A prefix matches whole path
 // segments: "/a" matches "/a" and "/a/b", not "/ab".
 func (m *Matcher) Match(host, method, path string) *Route {
-	for _, route := range m.byMethod[method] {
-		if route.Host != "" && route.Host != host {
+	if route := m.matchHost(hostName(host), method, path); route != nil {
+		return route
+	}
+	return m.matchHost("", method, path)
+}
+
+func (m *Matcher) matchHost(host, method, path string) *Route {
+	for _, route := range m.byHost[host] {
+		if len(route.Methods) > 0 && !slices.Contains(route.Methods, method) {
 			continue
 		}
 		if hasPathPrefix(path, route.PathPrefix) {
@@ -47,6 +49,14 @@
 	return nil
 }
 
+// hostName returns the host without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 func hasPathPrefix(path, prefix string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
--- a/pkg/announcer/announcement.go
+++ b/pkg/announcer/announcement.go
@@ -31,12 +31,19 @@
 type Announcement struct {
 	// Address is the IP and port on which the upstream serves HTTP.
 	Address string `json:"address"`
+	// Born is when the upstream's process started, in milliseconds since 1970; zero where it is not
+	// known. Of two processes the one that was born later is the newer.
+	Born int64 `json:"born,omitempty"`
+	// Cold is for how long the upstream stays slow after its start.
+	Cold time.Duration `json:"cold,omitempty"`
 	// HealthPath answers 200 while the upstream thinks itself healthy; empty for none.
 	HealthPath string `json:"health-path,omitempty"`
 	// Instance is new for each start of the upstream's process.
 	Instance string `json:"instance"`
 	// LoadPath answers the upstream's own view of its load; empty for none.
 	LoadPath string `json:"load-path,omitempty"`
+	// Sequence rises with each announcement of one process; zero where it is not counted.
+	Sequence uint64 `json:"sequence,omitempty"`
 	Service  string `json:"service"`
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int   `json:"slots"`
