--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -67,6 +67,8 @@
 	// it can't begin it at once on an upstream that is as fast as usual.
 	Optional bool   `json:"optional,omitempty"`
 	Rank     string `json:"rank"`
+	// Relaxed is true where the answer comes in time even if the upstream is slow for a moment.
+	Relaxed bool `json:"relaxed,omitempty"`
 	// Request is the id that the caller gave its request, or empty.
 	Request string `json:"request,omitempty"`
 	// Sender and Sequence identify the attempt.
--- a/internal/carrier/patience.go
+++ b/internal/carrier/patience.go
@@ -8,7 +8,8 @@
 const (
 	defaultPatience = time.Second
 	deviationFactor = 4
-	minPatience     = 100 * time.Millisecond
+	// minPatience is above the time for which an upstream that shares its VM is slow.
+	minPatience     = 600 * time.Millisecond
 	patienceSamples = 8
 	smoothing       = 8
 )
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -37,12 +37,12 @@
 // Targets picks nodes and learns from their outcomes.
 type Targets interface {
 	Learn(name string, load carrier.Load, failed bool)
+	// LoadSeen takes a node's word on its load. It reports whether its upstream has turned slow.
+	LoadSeen(name string, load carrier.Load) bool
 	// Overdue notes that an answer of the node is overdue.
 	Overdue(name string)
-	Pick(service string, exclude []string) (router.Choice, bool)
+	Pick(need router.Need, exclude []string) (router.Choice, bool)
 	Sent(name string)
-	// Slow notes that the node's upstream has turned slow.
-	Slow(name string)
 }
 
 // Sender takes an attempt to a node, which can be this one.
@@ -79,6 +79,8 @@
 	Route   string
 	Service string
 	Started time.Time
+	// Target is the time within which the answer is of full use; zero where the route sets none.
+	Target time.Duration
 }
 
 // Config holds the dependencies of a Dispatcher.
@@ -206,6 +208,7 @@
 	c.Rank = route.Rank
 	c.Route = route.Name
 	c.Service = route.Service
+	c.Target = route.TargetLatency.Std()
 	if parts := current.splits[route]; parts != nil {
 		c.Service = parts.next()
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -44,12 +44,12 @@
 func (l *level) Overdue(string) {}
 
 // Pick implements Targets.
-func (l *level) Pick(string, []string) (router.Choice, bool) {
+func (l *level) Pick(router.Need, []string) (router.Choice, bool) {
 	return router.Choice{Member: gossiper.Member{Name: "target"}}, true
 }
 
-// Slow implements Targets.
-func (l *level) Slow(string) {}
+// LoadSeen implements Targets.
+func (l *level) LoadSeen(string, carrier.Load) bool { return false }
 
 // Sent implements Targets.
 func (l *level) Sent(string) {}
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -17,24 +17,36 @@
 	hedgeQuantile = 0.98
 	maxHedgeTries = 3
 	minHedgeDelay = 5 * time.Millisecond
+	usualQuantile = 0.5
 )
 
-// latencies estimates the high quantile of each route's answers.
+// latencies estimates the usual and the high latency of each route's answers.
 type latencies struct {
 	mu     sync.Mutex
-	routes map[string]*quantiler.Estimate
+	routes map[string]*latency
 }
 
-func (l *latencies) of(call *Call) *quantiler.Estimate {
+// latency estimates two quantiles of one route.
+type latency struct {
+	high  *quantiler.Estimate
+	usual *quantiler.Estimate
+}
+
+func (l *latency) observe(taken time.Duration) {
+	l.high.Observe(taken)
+	l.usual.Observe(taken)
+}
+
+func (l *latencies) of(call *Call) *latency {
 	key := call.Service + "/" + call.Route
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.routes == nil {
-		l.routes = make(map[string]*quantiler.Estimate)
+		l.routes = make(map[string]*latency)
 	}
 	estimate, ok := l.routes[key]
 	if !ok {
-		estimate = quantiler.New(hedgeQuantile)
+		estimate = &latency{high: quantiler.New(hedgeQuantile), usual: quantiler.New(usualQuantile)}
 		l.routes[key] = estimate
 	}
 	return estimate
@@ -94,9 +106,12 @@
 	return all
 }
 
-// Slow takes a node's word that its upstream has turned slow: calls that wait for it try elsewhere.
-func (d *Dispatcher) Slow(target string) {
-	d.Targets.Slow(target)
+// LoadSeen takes a node's word on the load of its upstream. When that has turned slow, the calls that
+// wait for it try elsewhere.
+func (d *Dispatcher) LoadSeen(target string, load carrier.Load) {
+	if !d.Targets.LoadSeen(target, load) {
+		return
+	}
 	for _, h := range d.hedges.at(target) {
 		go d.runHedge(h, meter.RetrySlow)
 	}
@@ -106,8 +121,8 @@
 // turns slow. The first good answer wins and the other try is cancelled.
 func (d *Dispatcher) tryHedged(ctx context.Context, call *Call, j *Journey, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	// Calls that other calls make are not hedged, because hedges at each level would multiply.
-	if !call.Idempotent || call.Depth > 0 || j.Arrivals+1 >= call.Attempts {
-		return d.try(ctx, call, target, optional, req, resp)
+	if !call.Idempotent || call.Depth > 0 || j.Runs+1 >= call.Attempts {
+		return d.try(ctx, call, target, optional, j.HandBacks > 0, req, resp)
 	}
 	first, stopFirst := context.WithCancel(ctx)
 	defer stopFirst()
@@ -121,14 +136,14 @@
 	req.CopyTo(h.req)
 	d.hedges.add(h)
 	defer d.hedges.remove(h)
-	if delay := d.latencies.of(call).Value(); delay > 0 {
+	if delay := d.latencies.of(call).high.Value(); delay > 0 {
 		timer := d.Clock.AfterFunc(max(delay, minHedgeDelay), func() {
 			d.Targets.Overdue(h.target)
 			d.runHedge(h, meter.RetryHedge)
 		})
 		defer timer.Stop()
 	}
-	outcome := d.try(first, call, target, optional, req, resp)
+	outcome := d.try(first, call, target, optional, j.HandBacks > 0, req, resp)
 	if !h.finish() {
 		return outcome
 	}
@@ -137,9 +152,7 @@
 		return outcome
 	}
 	other := <-h.outcome
-	if other.Reached() {
-		j.Arrivals++
-	}
+	j.count(&other)
 	if isGood(&other, h.resp) {
 		h.resp.CopyTo(resp)
 		return other
@@ -182,13 +195,13 @@
 	}
 	var outcome carrier.Outcome
 	for range maxHedgeTries {
-		target, ok := d.Targets.Pick(h.call.Service, h.exclude)
+		target, ok := d.Targets.Pick(d.need(h.call), h.exclude)
 		if !ok {
 			outcome.Refusal = noUpstream()
 			break
 		}
 		h.exclude = append(h.exclude, target.Name)
-		outcome = d.try(h.ctx, h.call, target.Member, true, h.req, h.resp)
+		outcome = d.try(h.ctx, h.call, target.Member, true, true, h.req, h.resp)
 		if outcome.Reached() || !isHandBack(&outcome) {
 			break
 		}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -20,6 +21,8 @@
 	HandBacks int
 	// Hedged is true where a second try was begun beside the first.
 	Hedged bool
+	// Runs is the number of tries that an upstream may have run.
+	Runs int
 	// Target is the node of the last try.
 	Target string
 	// Tries is the number of tries, hedges left out.
@@ -46,9 +49,7 @@
 		j.Tries++
 		j.Target = choice.Name
 		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
-		if outcome.Reached() {
-			j.Arrivals++
-		}
+		j.count(&outcome)
 		reason, again := d.again(call, &outcome, resp)
 		if !again || !d.mayRetry(call, j, &outcome) {
 			break
@@ -64,14 +65,24 @@
 func (d *Dispatcher) choose(call *Call, j *Journey) (choice router.Choice, optional, ok bool) {
 	if j.HandBacks < maxHandBacks {
 		exclude := append(append([]string(nil), j.failed...), j.busy...)
-		if choice, ok := d.Targets.Pick(call.Service, exclude); ok {
+		if choice, ok := d.Targets.Pick(d.need(call), exclude); ok {
 			return choice, choice.Others > 0 || len(j.busy) > 0, true
 		}
 	}
-	choice, ok = d.Targets.Pick(call.Service, j.failed)
+	choice, ok = d.Targets.Pick(d.need(call), j.failed)
 	return choice, false, ok
 }
 
+// slowSpan is for how long an upstream that shares its VM is slow at a time, as a rule.
+const slowSpan = 500 * time.Millisecond
+
+// need returns what the call asks of its target.
+func (d *Dispatcher) need(call *Call) router.Need {
+	usual := d.latencies.of(call).usual.Value()
+	left := call.Target - d.Clock.Now().Sub(call.Started) - usual
+	return router.Need{Relaxed: usual > 0 && left > slowSpan, Service: call.Service, Target: call.Target}
+}
+
 // note books a try that is followed by another.
 func (j *Journey) note(target string, outcome *carrier.Outcome) {
 	switch {
@@ -83,6 +94,17 @@
 	}
 }
 
+// count books whether an upstream has got the try and may have run it.
+func (j *Journey) count(outcome *carrier.Outcome) {
+	if !outcome.Reached() {
+		return
+	}
+	j.Arrivals++
+	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() {
+		j.Runs++
+	}
+}
+
 func isHandBack(outcome *carrier.Outcome) bool {
 	return outcome.Refusal != nil && outcome.Refusal.Reason == refuser.ReasonBusy
 }
@@ -91,18 +113,20 @@
 	return refuser.Later(refuser.ReasonNoUpstream, noUpstreamRetry, "no server of the service is ready")
 }
 
-func (d *Dispatcher) try(ctx context.Context, call *Call, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
+func (d *Dispatcher) try(ctx context.Context, call *Call, target gossiper.Member, optional, handedOn bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	resp.Reset()
 	attempt := carrier.Attempt{
 		Call:       call.ID,
 		Caller:     call.Caller,
 		Chain:      call.Chain,
 		Depth:      call.Depth,
+		HandedOn:   handedOn,
 		Idempotent: call.Idempotent,
 		Key:        call.Key,
 		Neighbour:  call.Neighbour,
 		Optional:   optional,
 		Rank:       call.Rank,
+		Relaxed:    d.need(call).Relaxed,
 		Request:    call.Request,
 		Service:    call.Service,
 	}
@@ -179,7 +203,7 @@
 	switch {
 	case outcome.Spent:
 		d.Meter.RetryRefused(meter.RetryRefusalNested)
-	case j.Tries >= maxTries || j.Arrivals >= call.Attempts:
+	case j.Tries >= maxTries || j.Runs >= call.Attempts:
 		d.Meter.RetryRefused(meter.RetryRefusalTries)
 	case !d.Clock.Now().Before(call.Deadline):
 		d.Meter.RetryRefused(meter.RetryRefusalDeadline)
@@ -199,7 +223,7 @@
 	if outcome.Refusal == nil {
 		total := d.Clock.Now().Sub(call.Started)
 		if !failed {
-			d.latencies.of(call).Observe(total)
+			d.latencies.of(call).observe(total)
 		}
 		d.Meter.Answered(call.Service, call.Rank, total, total-outcome.Used)
 	}
--- a/internal/executor/binding_test.go
+++ b/internal/executor/binding_test.go
@@ -79,7 +79,7 @@
 		return g.members[p.choose(g)], func(carrier.Outcome) {}
 	}
 	entry := g.entries[n%len(g.entries)]
-	to, _ := entry.Pick(testService, nil)
+	to, _ := entry.Pick(router.Need{Service: testService}, nil)
 	entry.Sent(to.Name)
 	return g.byName(to.Name), func(o carrier.Outcome) {
 		failed := o.Refusal != nil && o.Refusal.Reason == refuser.ReasonUpstreamFailed
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -56,8 +56,8 @@
 	ReportCrash(ctx context.Context, crash quarantiner.Crash)
 	// ReportInnocent tells the other nodes of a service.
 	ReportInnocent(ctx context.Context, acquittal quarantiner.Acquittal)
-	// ReportSlow tells entry nodes that their attempts here will take long.
-	ReportSlow(ctx context.Context, entries []string)
+	// TellLoad tells entry nodes what the upstream can take at the moment.
+	TellLoad(entries []string, load carrier.Load)
 	// Reserve places a reservation with a sibling.
 	Reserve(ctx context.Context, to gossiper.Member, request ReserveRequest) error
 }
@@ -122,6 +122,7 @@
 	lastGrant    uint64
 	limit        *limiter.Limiter
 	load         loadReport
+	notices      notices
 	schedule     *scheduler.Scheduler
 	spent        map[string]time.Time
 }
@@ -283,6 +284,7 @@
 		e.Meter.Event("late_attempts")
 		return e.refused(refuser.Unknown(refuser.ReasonOutcomeUnknown, err.Error()))
 	}
+	e.notePeer(x)
 	outcome := e.admit(ctx, x)
 	e.mu.Lock()
 	outcome.Load = e.currentLoad()
@@ -366,13 +368,14 @@
 	now := e.Clock.Now()
 	w := scheduler.NewWaiter(now, e.class(x), x.Deadline)
 	e.mu.Lock()
-	if x.Attempt.Optional && !e.isPrompt() {
+	if x.Attempt.Optional && !e.isPrompt(x.Attempt.Relaxed) {
 		e.mu.Unlock()
 		e.Meter.Event("handed_back")
 		return carrier.Outcome{Refusal: refuser.Later(refuser.ReasonBusy, sweepInterval, "the upstream is full or slow and the sender has another")}
 	}
 	free := e.schedule.TryRun(w)
 	overloaded := !free && e.schedule.ExpectedWait(w.Class) > x.Deadline.Sub(now)
+	e.tell()
 	e.mu.Unlock()
 	if free {
 		return e.run(ctx, x, w)
@@ -395,7 +398,7 @@
 	a := x.Attempt
 	a.HandedOn = true
 	outcome := e.Sender.Send(ctx, sibling, a, x.Request, x.Response, x.Deadline)
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() {
+	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() {
 		return outcome, true
 	}
 	// A sibling that is full has judged the wait; one that can't be reached or leaves has not.
--- a/internal/executor/harness_test.go
+++ b/internal/executor/harness_test.go
@@ -216,8 +216,8 @@
 	}
 }
 
-// ReportSlow implements Links.
-func (m *member) ReportSlow(context.Context, []string) {}
+// TellLoad implements Links.
+func (m *member) TellLoad([]string, carrier.Load) {}
 
 // Member implements Siblings.
 func (m *member) Member(name string) (gossiper.Member, bool) {
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -1,8 +1,6 @@
 package executor
 
 import (
-	"context"
-	"strings"
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
@@ -21,22 +19,14 @@
 	slowdown float64
 }
 
-// Report takes the upstream's own view of its load. When the upstream has turned slow, the entry nodes
-// of the idempotent attempts that run here are told, so that they can try elsewhere.
+// Report takes the upstream's own view of its load.
 func (e *Executor) Report(load interpreter.Load) {
 	e.mu.Lock()
-	wasSlow := e.load.slowdown >= slowFactor
+	defer e.mu.Unlock()
 	e.load = loadReport{at: e.Clock.Now(), slowdown: load.Slowdown}
 	e.limit.Reported()
-	var entries []string
-	if !wasSlow && load.Slowdown >= slowFactor {
-		entries = e.waitingEntries()
-	}
-	e.mu.Unlock()
-	if len(entries) > 0 {
-		e.Meter.Event("slow_upstream_reports")
-		go e.Links.ReportSlow(context.Background(), entries)
-	}
+	e.applyLimit()
+	e.tell()
 }
 
 // LoadAge returns how old the newest report is, whether anything runs at the upstream, and whether it
@@ -47,28 +37,13 @@
 	return e.Clock.Now().Sub(e.load.at), len(e.inFlight) > 0, !e.load.at.IsZero()
 }
 
-// waitingEntries returns the nodes that wait for idempotent attempts which run here. It is called with
-// mu held.
-func (e *Executor) waitingEntries() []string {
-	seen := make(map[string]bool)
-	var entries []string
-	for x := range e.inFlight {
-		entry, _, _ := strings.Cut(x.Attempt.Sender, ".")
-		if x.Attempt.Idempotent && !seen[entry] {
-			seen[entry] = true
-			entries = append(entries, entry)
-		}
-	}
-	return entries
-}
-
-// isPrompt reports whether a request could begin at once and run as fast as usual. It is called with
-// mu held.
-func (e *Executor) isPrompt() bool {
+// isPrompt reports whether a request could begin at once and, unless it is relaxed, run as fast as
+// usual. It is called with mu held.
+func (e *Executor) isPrompt(relaxed bool) bool {
 	if e.schedule.Queued() > 0 || e.schedule.Running() >= e.schedule.Slots() {
 		return false
 	}
-	return !e.isSlow()
+	return relaxed || !e.isSlow()
 }
 
 func (e *Executor) isSlow() bool {
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -108,6 +108,7 @@
 	e.limit.Observe(now, used, result, running)
 	e.schedule.Done(now, w, used)
 	e.applyLimit()
+	e.tell()
 }
 
 func (e *Executor) resultOf(resp *fasthttp.Response, err error) limiter.Result {
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -84,7 +84,7 @@
 	a.HandedOn = true
 	a.Grant = binding.Grant
 	outcome := e.Sender.Send(ctx, to, a, x.Request, x.Response, x.Deadline)
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Refusal.Reason == refuser.ReasonPoison {
+	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() || outcome.Refusal.Reason == refuser.ReasonPoison {
 		return outcome, true
 	}
 	return outcome, false
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -39,6 +39,8 @@
 
 // Observer is told of changes, without a lock held.
 type Observer interface {
+	// LoadSeen follows each packet that tells the load of a member's upstream.
+	LoadSeen(from Member, load Load)
 	// MemberChanged follows each change of a member's record.
 	MemberChanged(m Member)
 	// ViewDiffers follows a packet from a member whose view is not the own, while no change is
@@ -175,6 +177,14 @@
 		g.mu.Unlock()
 		return
 	}
+	if p.Kind == KindLoad {
+		sender, ok := g.members[p.Sender]
+		g.mu.Unlock()
+		if ok {
+			g.observer.LoadSeen(sender.Member, *p.Load)
+		}
+		return
+	}
 	now := g.clock.Now()
 	for i := range p.Members {
 		g.merge(p.Members[i])
@@ -248,6 +258,21 @@
 	}
 }
 
+// TellLoad sends the load of the own upstream to the named members.
+func (g *Gossiper) TellLoad(to []string, load Load) {
+	data, err := g.codec.Encode(&Packet{Kind: KindLoad, Sender: g.self, Load: &load})
+	if err != nil {
+		return
+	}
+	g.mu.Lock()
+	for _, name := range to {
+		if m, ok := g.members[name]; ok && name != g.self {
+			g.outbox = append(g.outbox, datagram{data: data, to: m.Control})
+		}
+	}
+	g.flush()
+}
+
 // AddSeeds adds addresses to try where no other member can be reached.
 func (g *Gossiper) AddSeeds(seeds []netip.AddrPort) {
 	g.mu.Lock()
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -96,6 +96,9 @@
 	p.net.after(2*flight, func() { p.net.views[p.name].SetVersion(max(version, p.net.views[p.name].version)) })
 }
 
+// LoadSeen implements Observer.
+func (p port) LoadSeen(Member, Load) {}
+
 // ViewDiffers implements Observer: the views are compared as the owner does over a connection.
 func (p port) ViewDiffers(from Member) {
 	own, other := p.net.views[p.name], p.net.views[from.Name]
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -26,8 +26,19 @@
 	KindAck
 	KindIndirectPing
 	KindUpdate
+	// KindLoad tells what the sender's upstream can take at the moment.
+	KindLoad
 )
 
+// Load is what the upstream beside a member can take at the moment.
+type Load struct {
+	Queued  int `cbor:"1,keyasint,omitempty"`
+	Running int `cbor:"2,keyasint,omitempty"`
+	Slots   int `cbor:"3,keyasint,omitempty"`
+	// Slowdown is how much longer than usual work takes, in percent; zero where it is not known.
+	Slowdown int `cbor:"4,keyasint,omitempty"`
+}
+
 // Packet is one datagram between members.
 type Packet struct {
 	Kind     Kind   `cbor:"1,keyasint"`
@@ -40,6 +51,8 @@
 	Members []Member `cbor:"6,keyasint,omitempty"`
 	// View is the hash of the sender's view, in pings and acks.
 	View uint64 `cbor:"7,keyasint,omitempty"`
+	// Load is set in packets of KindLoad.
+	Load *Load `cbor:"8,keyasint,omitempty"`
 }
 
 // Codec encodes packets and signs them.
@@ -93,7 +106,7 @@
 	if err := c.decoder.Unmarshal(body, &p); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	if p.Kind < KindPing || p.Kind > KindUpdate || p.Sender == "" {
+	if p.Kind < KindPing || p.Kind > KindLoad || (p.Kind == KindLoad) != (p.Load != nil) || p.Sender == "" {
 		return nil, fmt.Errorf("%w: kind %d from %q", ErrMalformed, p.Kind, p.Sender)
 	}
 	for i := range p.Members {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -56,11 +56,14 @@
 	return l
 }
 
-// Restart begins the slow start of an upstream that is new.
+// Restart begins the slow start of an upstream that is new. One that reports its load needs none.
 func (l *Limiter) Restart() {
+	if l.reported {
+		*l = Limiter{limit: math.Max(minLimit, float64(l.slots)), reported: true, slots: l.slots}
+		return
+	}
 	*l = Limiter{
 		limit:    math.Max(minLimit, float64(l.slots)/slowStartPart),
-		reported: l.reported,
 		slots:    l.slots,
 		starting: true,
 	}
@@ -68,6 +71,9 @@
 
 // SetSlots changes the announced number of slots, which bounds the limit.
 func (l *Limiter) SetSlots(slots int) {
+	if l.reported {
+		l.limit = math.Max(minLimit, float64(slots))
+	}
 	l.slots = slots
 	l.limit = math.Min(l.limit, float64(max(1, slots)))
 }
@@ -76,7 +82,11 @@
 // reason for a lower limit: an upstream that has no room says so, and fewer requests at once don't mend
 // another fault.
 func (l *Limiter) Reported() {
+	if l.reported {
+		return
+	}
 	l.reported = true
+	l.Restart()
 }
 
 // Limit returns how many requests may run at once; it is at least 1 and at most the slots.
@@ -104,7 +114,6 @@
 	}
 	l.failureRate += failureSmoothing * (failed - l.failureRate)
 	if l.reported {
-		l.raise(running)
 		return
 	}
 	if result == ResultFailed {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -94,15 +94,17 @@
 		p.find(ctx, &subject)
 		return findInterval
 	}
-	if !subject.Running || !subject.TellsLoad {
+	if !subject.Running && subject.TellsLoad {
 		return idleInterval
 	}
-	if subject.LoadAge < busyInterval {
+	if subject.TellsLoad && subject.LoadAge < busyInterval {
 		return busyInterval - subject.LoadAge
 	}
-	if answer, status := p.ask(ctx, &subject); status != 0 && answer.HasLoad {
-		p.node.Report(answer.Load)
+	answer, status := p.ask(ctx, &subject)
+	if status == 0 || !answer.HasLoad {
+		return findInterval
 	}
+	p.node.Report(answer.Load)
 	return busyInterval
 }
 
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/claimer"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
@@ -15,7 +16,6 @@
 
 // Methods between nodes.
 const (
-	methodSlow     = "slow"
 	methodClaim    = "claim"
 	methodCrash    = "crash"
 	methodInnocent = "innocent"
@@ -33,9 +33,8 @@
 	messenger *messenger.Messenger
 	self      string
 	siblings  func(service string) []gossiper.Member
-	member    func(name string) (gossiper.Member, bool)
-	// slow is told of the own upstream.
-	slow func(node string)
+	// tellLoad sends datagrams, of which some may be lost.
+	tellLoad func(entries []string, load gossiper.Load)
 }
 
 // Pull implements executor.Links.
@@ -60,25 +59,22 @@
 	l.tellSiblings(acquittal.Service, methodInnocent, acquittal)
 }
 
-// ReportSlow implements executor.Links.
-func (l *links) ReportSlow(ctx context.Context, entries []string) {
-	for _, entry := range entries {
-		if entry == l.self {
-			l.slow(l.self)
-			continue
-		}
-		m, ok := l.member(entry)
-		if !ok {
-			continue
-		}
-		// An entry that does not hear of it waits for its own timer.
-		_ = l.messenger.Notify(ctx, m.Control, messenger.PurposeBinding, methodSlow, slowNotice{Node: l.self})
-	}
+// TellLoad implements executor.Links.
+func (l *links) TellLoad(entries []string, load carrier.Load) {
+	l.tellLoad(entries, gossiper.Load{
+		Queued: load.Queued, Running: load.Running, Slots: load.Slots, Slowdown: int(100 * load.Slowdown),
+	})
 }
 
-// slowNotice tells that the upstream beside a node has turned slow.
-type slowNotice struct {
-	Node string `json:"node"`
+// LoadSeen implements gossiper.Observer.
+func (n *Node) LoadSeen(from gossiper.Member, load gossiper.Load) {
+	n.dispatcher.LoadSeen(from.Name, fromGossip(load))
+}
+
+func fromGossip(load gossiper.Load) carrier.Load {
+	return carrier.Load{
+		Queued: load.Queued, Running: load.Running, Slots: load.Slots, Slowdown: float64(load.Slowdown) / 100,
+	}
 }
 
 // tellSiblings sends a message to the other nodes of a service and waits a short time for them.
@@ -150,10 +146,6 @@
 		n.executor.Reserve(p)
 		return empty{}, nil
 	})
-	handle(m, methodSlow, func(_ context.Context, p slowNotice) (empty, error) {
-		n.dispatcher.Slow(p.Node)
-		return empty{}, nil
-	})
 	handle(m, methodCrash, func(_ context.Context, p quarantiner.Crash) (empty, error) {
 		n.quarantiner.Report(p)
 		return empty{}, nil
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -238,7 +238,10 @@
 	n.carrier = carrier.New(n.clock, n.secrets.Key, sender, n.gossiper, n.meter, n.peerOptions...)
 	links := &links{
 		messenger: n.messenger, self: n.settings.Name, siblings: n.router.Members,
-		member: n.gossiper.Member, slow: func(node string) { n.dispatcher.Slow(node) },
+		tellLoad: func(entries []string, load gossiper.Load) {
+			n.dispatcher.LoadSeen(n.settings.Name, fromGossip(load))
+			n.gossiper.TellLoad(entries, load)
+		},
 	}
 	n.executor = executor.New(executor.Config{
 		Bytes:       n.bindingBytes,
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -41,7 +41,7 @@
 	r := fill(650)
 	b.ReportAllocs()
 	for range b.N {
-		if _, ok := r.Pick("s1", nil); !ok {
+		if _, ok := r.Pick(Need{Service: "s1"}, nil); !ok {
 			b.Fatal("no target")
 		}
 	}
--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -7,12 +7,16 @@
 
 // Costs of a target, as the time that an answer would have to come sooner to make up for them.
 const (
-	distanceCost = 60 * time.Millisecond
-	failureCost  = 600 * time.Millisecond
-	fullCost     = 150 * time.Millisecond
-	loadCost     = 40 * time.Millisecond
+	// distancePart is the cost of each step of distance as a part of the target latency: bytes that leave
+	// the data centre are only worth it where the answer would be late otherwise.
+	distancePart = 0.15
+	// defaultTarget stands in where the route sets no target latency.
+	defaultTarget = 400 * time.Millisecond
+	failureCost   = 600 * time.Millisecond
+	fullCost      = 150 * time.Millisecond
+	loadCost      = 40 * time.Millisecond
 	// reportTime is for how long a target's word on its load is used.
-	reportTime = 250 * time.Millisecond
+	reportTime = 400 * time.Millisecond
 	slowCost   = 250 * time.Millisecond
 	// jitterCost spreads the calls over targets that are alike.
 	jitterCost = 4 * time.Millisecond
@@ -24,10 +28,10 @@
 type Cheapest struct{}
 
 // Pick implements Policy.
-func (Cheapest) Pick(candidates []Candidate, random *rand.Rand) int {
+func (Cheapest) Pick(need Need, candidates []Candidate, random *rand.Rand) int {
 	best, least := 0, time.Duration(0)
 	for i := range candidates {
-		cost := candidates[i].cost() + time.Duration(random.Int64N(int64(jitterCost)))
+		cost := candidates[i].cost(need) + time.Duration(random.Int64N(int64(jitterCost)))
 		if i == 0 || cost < least {
 			best, least = i, cost
 		}
@@ -40,10 +44,14 @@
 	return true
 }
 
-func (c *Candidate) cost() time.Duration {
-	cost := time.Duration(c.Distance) * distanceCost
+func (c *Candidate) cost(need Need) time.Duration {
+	target := need.Target
+	if target == 0 {
+		target = defaultTarget
+	}
+	cost := time.Duration(float64(c.Distance) * distancePart * float64(target))
 	cost += time.Duration(c.FailureRate * float64(failureCost))
-	if c.Slow {
+	if c.Slow && !need.Relaxed {
 		cost += slowCost
 	}
 	load := 0.0
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -32,14 +32,14 @@
 // Policy picks one of several candidates.
 type Policy interface {
 	// Pick returns an index into candidates, which is not empty.
-	Pick(candidates []Candidate, random *rand.Rand) int
+	Pick(need Need, candidates []Candidate, random *rand.Rand) int
 }
 
 // Random picks any candidate.
 type Random struct{}
 
 // Pick implements Policy.
-func (Random) Pick(candidates []Candidate, random *rand.Rand) int {
+func (Random) Pick(_ Need, candidates []Candidate, random *rand.Rand) int {
 	return random.IntN(len(candidates))
 }
 
@@ -49,7 +49,7 @@
 }
 
 // Pick implements Policy.
-func (r *RoundRobin) Pick(candidates []Candidate, _ *rand.Rand) int {
+func (r *RoundRobin) Pick(_ Need, candidates []Candidate, _ *rand.Rand) int {
 	r.next++
 	return r.next % len(candidates)
 }
@@ -58,7 +58,7 @@
 type LeastOutstanding struct{}
 
 // Pick implements Policy.
-func (LeastOutstanding) Pick(candidates []Candidate, random *rand.Rand) int {
+func (LeastOutstanding) Pick(_ Need, candidates []Candidate, random *rand.Rand) int {
 	best, ties := 0, 1
 	for i := 1; i < len(candidates); i++ {
 		switch {
@@ -78,7 +78,7 @@
 type TwoChoices struct{}
 
 // Pick implements Policy.
-func (TwoChoices) Pick(candidates []Candidate, random *rand.Rand) int {
+func (TwoChoices) Pick(_ Need, candidates []Candidate, random *rand.Rand) int {
 	a := random.IntN(len(candidates))
 	b := random.IntN(len(candidates))
 	if candidates[b].Reported < candidates[a].Reported {
@@ -91,7 +91,7 @@
 type Weighted struct{}
 
 // Pick implements Policy.
-func (Weighted) Pick(candidates []Candidate, random *rand.Rand) int {
+func (Weighted) Pick(_ Need, candidates []Candidate, random *rand.Rand) int {
 	sum := 0.0
 	for _, c := range candidates {
 		sum += c.Weight
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,7 +22,7 @@
 	// slowFactor is the slowdown from which an upstream counts as slow.
 	slowFactor = 2.0
 	// slowTime is for how long a target's word that it is slow is believed.
-	slowTime = 150 * time.Millisecond
+	slowTime = 400 * time.Millisecond
 	// suspectTime is for how long a target whose answer is overdue is passed over.
 	suspectTime = 400 * time.Millisecond
 	// speedPower makes a straggler's part smaller than its speed: the tail is what it takes longest.
@@ -100,13 +100,13 @@
 
 // Pick chooses a target for a first or further try. Members in exclude are not chosen. It reports
 // false when there is none.
-func (r *Router) Pick(service string, exclude []string) (Choice, bool) {
+func (r *Router) Pick(need Need, exclude []string) (Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	usable := r.usable(service, exclude, now, false)
+	usable := r.usable(need.Service, exclude, now, false)
 	if len(usable) == 0 {
-		usable = r.usable(service, exclude, now, true)
+		usable = r.usable(need.Service, exclude, now, true)
 	}
 	if len(usable) == 0 {
 		return Choice{}, false
@@ -115,7 +115,7 @@
 	if global, ok := r.policy.(interface{ IsGlobal() bool }); !ok || !global.IsGlobal() {
 		usable = r.nearest(usable)
 	}
-	picked := usable[r.policy.Pick(r.candidates(usable, now), r.random)]
+	picked := usable[r.policy.Pick(need, r.candidates(usable, now), r.random)]
 	if picked.failures >= failuresToRest {
 		// One call probes a target that has rested; the others wait for its outcome.
 		picked.restUntil = now.Add(picked.rest)
@@ -123,6 +123,15 @@
 	return Choice{Member: picked.Member, Others: others}, true
 }
 
+// Need is what a call asks of its target.
+type Need struct {
+	// Relaxed is true where the answer comes in time even if the upstream is slow for a moment.
+	Relaxed bool
+	Service string
+	// Target is the time within which the answer is of full use; zero where none is set.
+	Target time.Duration
+}
+
 // Choice is a picked target.
 type Choice struct {
 	gossiper.Member
@@ -231,7 +240,7 @@
 	if len(usable) == 0 {
 		return gossiper.Member{}, false
 	}
-	return usable[Weighted{}.Pick(r.candidates(usable, now), r.random)].Member, true
+	return usable[Weighted{}.Pick(Need{}, r.candidates(usable, now), r.random)].Member, true
 }
 
 // Reservation chooses another node of the service for a reservation. All are as likely, because a
@@ -288,10 +297,18 @@
 	}
 	t.outstanding--
 	now := r.clock.Now()
+	if load.Slots > 0 {
+		t.latency = load.Latency
+	}
+	t.take(now, load)
+	t.learn(now, failed)
+}
+
+// take books a target's word on its load.
+func (t *target) take(now time.Time, load carrier.Load) {
 	if load.Slots > 0 {
 		t.reported = float64(load.Running+load.Queued) / float64(load.Slots)
 		t.reportedAt = now
-		t.latency = load.Latency
 	}
 	if load.Slowdown > 0 {
 		t.slowUntil = time.Time{}
@@ -299,24 +316,28 @@
 	if load.Slowdown >= slowFactor {
 		t.slowUntil = now.Add(slowTime)
 	}
-	t.learn(now, failed)
 }
 
-// Slow notes that a target's upstream has turned slow.
-func (r *Router) Slow(name string) {
-	r.delay(name, slowTime)
+// LoadSeen takes a target's word on its load. It reports whether the upstream has turned slow.
+func (r *Router) LoadSeen(name string, load carrier.Load) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[name]
+	if !ok {
+		return false
+	}
+	now := r.clock.Now()
+	wasSlow := now.Before(t.slowUntil)
+	t.take(now, load)
+	return !wasSlow && now.Before(t.slowUntil)
 }
 
 // Overdue notes that an answer of the target is overdue.
 func (r *Router) Overdue(name string) {
-	r.delay(name, suspectTime)
-}
-
-func (r *Router) delay(name string, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t, ok := r.targets[name]; ok {
-		t.slowUntil = r.clock.Now().Add(d)
+		t.slowUntil = r.clock.Now().Add(suspectTime)
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -25,7 +25,7 @@
 func count(r *Router, picks int) map[string]int {
 	counts := make(map[string]int)
 	for range picks {
-		if m, ok := r.Pick("s", nil); ok {
+		if m, ok := r.Pick(Need{Service: "s"}, nil); ok {
 			counts[m.Name]++
 		}
 	}
@@ -45,7 +45,7 @@
 		want.Upstream = announcer.StateDraining
 		r.Update(*want)
 	}
-	if _, ok := r.Pick("s", nil); ok {
+	if _, ok := r.Pick(Need{Service: "s"}, nil); ok {
 		t.Error("a draining upstream was picked")
 	}
 }
