Admit what can be answered in time; drain without losing the upstream early

Change: an attempt says how long it may wait to be in time; late waiters give way; the expected wait counts the rest of a slow span; an entry that knows of no prompt target asks the best one to keep the call; Retry-After is spread and at most a third of the caller's time. A draining node serves on until callers had time to notice, then hands its upstream over and closes idle connections.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -77,6 +77,9 @@
 	Service  string `json:"service"`
 	// Timeout is the time left until the deadline when the attempt was sent.
 	Timeout time.Duration `json:"timeout"`
+	// Useful is how long the attempt may wait for its start to be answered in time; zero where no target
+	// latency is set.
+	Useful time.Duration `json:"useful,omitempty"`
 }
 
 // ID returns the identity of the attempt.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -79,6 +79,8 @@
 	Route   string
 	Service string
 	Started time.Time
+	// Until is when the caller gives up; the deadline where it does not say.
+	Until time.Time
 	// Target is the time within which the answer is of full use; zero where the route sets none.
 	Target time.Duration
 }
@@ -191,6 +193,10 @@
 	if call.Depth > maxDepth {
 		return call, refuser.New(refuser.ReasonBadRequest, "calls are nested too deeply")
 	}
+	call.Until = call.Deadline
+	if said.Timeout > 0 {
+		call.Until = now.Add(said.Timeout)
+	}
 	if said.Timeout > 0 && now.Add(said.Timeout).Before(call.Deadline) {
 		call.Deadline = now.Add(said.Timeout)
 	}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -58,14 +59,35 @@
 		d.Meter.Retried(reason)
 	}
 	d.finish(call, &outcome, resp)
+	d.advise(call, outcome.Refusal)
 	return outcome.Refusal
 }
 
-// choose picks the next target. The attempt is optional while the call has others to go to.
+const (
+	// minRetryAfter gives an upstream that is full the time to work its queue off.
+	minRetryAfter = 300 * time.Millisecond
+	// retryPart is the part of the caller's time that may pass before it comes back.
+	retryPart = 3
+)
+
+// advise tells the caller of a refusal when to come back: not all at once, and early enough to be
+// served.
+func (d *Dispatcher) advise(call *Call, refusal *refuser.Refusal) {
+	if refusal == nil || refusal.RetryAfter == 0 {
+		return
+	}
+	wanted := max(refusal.RetryAfter, minRetryAfter)
+	wanted += rand.N(wanted / 2)
+	left := call.Until.Sub(d.Clock.Now())
+	refusal.RetryAfter = max(time.Millisecond, min(wanted, left/retryPart))
+}
+
+// choose picks the next target. The attempt is optional while the call has others to go to that are
+// believed to have room and their usual speed.
 func (d *Dispatcher) choose(call *Call, j *Journey) (choice router.Choice, optional, ok bool) {
 	if j.HandBacks < maxHandBacks {
 		exclude := append(append([]string(nil), j.failed...), j.busy...)
-		if choice, ok := d.Targets.Pick(d.need(call), exclude); ok {
+		if choice, ok := d.Targets.Pick(d.need(call), exclude); ok && (choice.Prompt || j.Tries == 0) {
 			return choice, choice.Others > 0 || len(j.busy) > 0, true
 		}
 	}
@@ -83,6 +105,21 @@
 	return router.Need{Relaxed: usual > 0 && left > slowSpan, Service: call.Service, Target: call.Target}
 }
 
+// minUseful tells a node that the answer will be late in any case.
+const minUseful = time.Millisecond
+
+// useful returns how long the call may wait for its start to be answered in time, or zero.
+func (d *Dispatcher) useful(call *Call) time.Duration {
+	if call.Target == 0 {
+		return 0
+	}
+	usual := d.latencies.of(call).usual.Value()
+	if usual == 0 {
+		usual = call.Target / 2
+	}
+	return max(minUseful, call.Target-usual-d.Clock.Now().Sub(call.Started))
+}
+
 // note books a try that is followed by another.
 func (j *Journey) note(target string, outcome *carrier.Outcome) {
 	switch {
@@ -129,6 +166,7 @@
 		Relaxed:    d.need(call).Relaxed,
 		Request:    call.Request,
 		Service:    call.Service,
+		Useful:     d.useful(call),
 	}
 	d.Targets.Sent(target.Name)
 	outcome := d.Sender.Send(ctx, target, attempt, req, resp, call.Deadline)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -88,6 +88,15 @@
 	Response *fasthttp.Response
 }
 
+// usefulUntil returns until when a start leads to an answer in time, for an attempt that arrived at the
+// given time; zero where that is not known.
+func (x *Execution) usefulUntil(arrived time.Time) time.Time {
+	if x.Attempt.Useful == 0 {
+		return time.Time{}
+	}
+	return arrived.Add(x.Attempt.Useful)
+}
+
 // Config holds the dependencies of an Executor.
 type Config struct {
 	Bytes *budgeter.Bytes
@@ -367,6 +376,7 @@
 	}
 	now := e.Clock.Now()
 	w := scheduler.NewWaiter(now, e.class(x), x.Deadline)
+	w.Useful = x.usefulUntil(now)
 	e.mu.Lock()
 	if x.Attempt.Optional && !e.isPrompt(x.Attempt.Relaxed) {
 		e.mu.Unlock()
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -11,6 +11,8 @@
 	loadTime = 150 * time.Millisecond
 	// slowFactor is the slowdown from which an upstream counts as slow.
 	slowFactor = 2.0
+	// slowPause is how much longer a request at an upstream that has turned slow takes on average.
+	slowPause = 200 * time.Millisecond
 )
 
 // loadReport is the upstream's newest word on its load.
@@ -25,6 +27,11 @@
 	defer e.mu.Unlock()
 	e.load = loadReport{at: e.Clock.Now(), slowdown: load.Slowdown}
 	e.limit.Reported()
+	pause := time.Duration(0)
+	if e.isSlow() {
+		pause = slowPause
+	}
+	e.schedule.SetPause(pause)
 	e.applyLimit()
 	e.tell()
 }
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -31,6 +31,7 @@
 // queue waits for the scheduler's verdict. It returns a refusal when the attempt is given up.
 func (e *Executor) queue(ctx context.Context, x *Execution, arrived time.Time) (scheduler.Verdict, *scheduler.Waiter, *refuser.Refusal) {
 	w := scheduler.NewWaiter(arrived, e.class(x), x.Deadline)
+	w.Useful = x.usefulUntil(arrived)
 	e.mu.Lock()
 	queued, refusal := e.schedule.Submit(e.Clock.Now(), w)
 	e.mu.Unlock()
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -123,11 +123,7 @@
 
 // Close stops accepting, closes idle connections, and lets the others finish until ctx is done.
 func (l *Listener) Close(ctx context.Context) {
-	l.Drain()
-	l.shut()
-	for _, c := range l.open() {
-		c.closeIdle()
-	}
+	l.Shut()
 	done := make(chan struct{})
 	go func() {
 		l.serving.Wait()
@@ -140,6 +136,15 @@
 	}
 }
 
+// Shut stops accepting and closes idle connections. The others end with their next answer.
+func (l *Listener) Shut() {
+	l.Drain()
+	l.shut()
+	for _, c := range l.open() {
+		c.closeIdle()
+	}
+}
+
 // Abort cuts every connection.
 func (l *Listener) Abort() {
 	l.shut()
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -21,6 +21,8 @@
 	busyInterval = 25 * time.Millisecond
 	// findInterval is the time between two questions to an upstream that is not known to be ready.
 	findInterval = 250 * time.Millisecond
+	// startInterval is how often a node looks whether it knows enough to ask.
+	startInterval = 50 * time.Millisecond
 	// idleInterval is how often a ready upstream without requests is looked at.
 	idleInterval = 100 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
@@ -88,7 +90,7 @@
 func (p *Prober) step(ctx context.Context) time.Duration {
 	subject := p.node.Subject()
 	if !subject.Address.IsValid() || subject.HealthPath == "" {
-		return findInterval
+		return startInterval
 	}
 	if !subject.IsReady {
 		p.find(ctx, &subject)
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -74,35 +74,34 @@
 	n.log.Error("The settings can't be read again.", "error", err)
 }
 
-const quietTime = 200 * time.Millisecond
-
-// DrainFor hands new work to others and serves what comes on open connections until nothing is in
-// flight, for the given time at least and at most.
-func (n *Node) DrainFor(least, most time.Duration) {
-	n.log.Info("Draining.", "least", least, "most", most)
+// DrainFor hands new work to others and finishes what is in flight. For the time away callers are still
+// served, since they need it to notice that the node is not ready; then nothing new is begun. It returns
+// when nothing is in flight, or after the time most.
+func (n *Node) DrainFor(away, most time.Duration) {
+	n.log.Info("Draining.", "away", away, "most", most)
+	started := n.clock.Now()
 	n.leaving.Store(true)
 	for _, l := range n.entries {
 		l.Drain()
 	}
+	time.Sleep(away)
 	self := n.gossiper.Self()
 	n.gossiper.SetUpstream(self.Service, self.Slots, announcer.StateDraining)
 	n.executor.Drain()
-	started := n.clock.Now()
-	quiet := started
-	for {
+	time.Sleep(min(settleTime, away))
+	for _, l := range n.entries {
+		l.Shut()
+	}
+	for n.inFlight() > 0 && n.clock.Now().Sub(started) < most {
 		time.Sleep(drainPoll)
-		now := n.clock.Now()
-		if n.inFlight() > 0 {
-			quiet = now
-		}
-		if now.Sub(started) >= most || (now.Sub(started) >= least && now.Sub(quiet) >= min(quietTime, least)) {
-			break
-		}
 	}
 	n.gossiper.Leave()
-	n.log.Info("Drained.", "in-flight", n.inFlight())
+	n.log.Info("Drained.", "in-flight", n.inFlight(), "took", n.clock.Now().Sub(started))
 }
 
+// settleTime is how long the other nodes take to send their attempts elsewhere.
+const settleTime = 100 * time.Millisecond
+
 func (n *Node) inFlight() int {
 	count := n.executor.Running()
 	for _, l := range n.entries {
--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -44,6 +44,23 @@
 	return true
 }
 
+// isPrompt reports whether the target is believed to have room and its usual speed.
+func (c *Candidate) isPrompt(need Need) bool {
+	return c.load() < 1 && (need.Relaxed || !c.Slow)
+}
+
+// load is the part of the slots that are in use, as far as is known.
+func (c *Candidate) load() float64 {
+	load := 0.0
+	if c.ReportAge < reportTime {
+		load = c.Reported
+	}
+	if c.Slots > 0 {
+		load = max(load, float64(c.Outstanding)/float64(c.Slots))
+	}
+	return load
+}
+
 func (c *Candidate) cost(need Need) time.Duration {
 	target := need.Target
 	if target == 0 {
@@ -54,13 +71,7 @@
 	if c.Slow && !need.Relaxed {
 		cost += slowCost
 	}
-	load := 0.0
-	if c.ReportAge < reportTime {
-		load = c.Reported
-	}
-	if c.Slots > 0 {
-		load = max(load, float64(c.Outstanding)/float64(c.Slots))
-	}
+	load := c.load()
 	cost += time.Duration(load * load * float64(loadCost))
 	if load >= 1 {
 		cost += time.Duration(load * float64(fullCost))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,12 +115,14 @@
 	if global, ok := r.policy.(interface{ IsGlobal() bool }); !ok || !global.IsGlobal() {
 		usable = r.nearest(usable)
 	}
-	picked := usable[r.policy.Pick(need, r.candidates(usable, now), r.random)]
+	candidates := r.candidates(usable, now)
+	index := r.policy.Pick(need, candidates, r.random)
+	picked := usable[index]
 	if picked.failures >= failuresToRest {
 		// One call probes a target that has rested; the others wait for its outcome.
 		picked.restUntil = now.Add(picked.rest)
 	}
-	return Choice{Member: picked.Member, Others: others}, true
+	return Choice{Member: picked.Member, Others: others, Prompt: candidates[index].isPrompt(need)}, true
 }
 
 // Need is what a call asks of its target.
@@ -135,6 +137,8 @@
 // Choice is a picked target.
 type Choice struct {
 	gossiper.Member
+	// Prompt is true where the target is believed to have room and its usual speed.
+	Prompt bool
 	// Others is the number of further targets that could be picked.
 	Others int
 }
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -14,11 +14,14 @@
 	if w.Reservation {
 		return nil
 	}
-	wait := s.ExpectedWait(w.Class)
+	wait := s.ExpectedWait(w.Class) + s.pause
 	target := s.rankConfig(w.Class.Rank).TargetWait
+	if !w.Useful.IsZero() {
+		target = w.Useful.Sub(now)
+	}
 	// A neighbour can always have one request in the queue, so that expensive ones get their share.
 	if wait > target && len(s.flow(w.Class).queue) > 0 {
-		return refuser.Later(refuser.ReasonQueueFull, s.retryAfter(w.Class, target), "the expected wait is over the rank's target")
+		return refuser.Later(refuser.ReasonQueueFull, s.retryAfter(w.Class, target), "the expected wait is too long")
 	}
 	if now.Add(wait + s.cost(w.Class)).After(w.Deadline) {
 		return refuser.Later(refuser.ReasonDeadline, s.retryAfter(w.Class, w.Deadline.Sub(now)), "the deadline can't be met")
@@ -26,6 +29,11 @@
 	return nil
 }
 
+// SetPause tells for how long the upstream will make next to no progress.
+func (s *Scheduler) SetPause(pause time.Duration) {
+	s.pause = pause
+}
+
 // retryAfter returns how long the backlog takes to shrink to an acceptable wait.
 func (s *Scheduler) retryAfter(class Class, acceptable time.Duration) time.Duration {
 	return max(minRetryAfter, s.ExpectedWait(class)-max(0, acceptable)/2)
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -28,6 +28,11 @@
 		}
 		f := rank.nextFlow(callsOnly)
 		w := s.popFrom(rank, f, callsOnly)
+		if w.isLate(now) && s.queued > 0 {
+			w.phase = phaseRefused
+			w.Verdicts <- Verdict{Refusal: s.tooLate(w)}
+			continue
+		}
 		if w.Reservation || !now.Add(minCost).After(w.Deadline) {
 			return w
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,6 +43,7 @@
 	config  Config
 	costs   map[Class]float64
 	mean    float64
+	pause   time.Duration
 	queued  int
 	ranks   []*rankState
 	rolled  time.Time
@@ -240,7 +241,8 @@
 	s.check()
 }
 
-// Sweep refuses at once every queued request whose deadline has passed.
+// Sweep refuses at once every queued request whose deadline has passed, and those that are too late
+// while others wait.
 func (s *Scheduler) Sweep(now time.Time) {
 	for _, rank := range s.ranks {
 		for _, f := range rank.flows {
@@ -252,6 +254,10 @@
 
 func (s *Scheduler) sweepFlow(now time.Time, f *flow) {
 	for _, w := range append([]*Waiter(nil), f.queue...) {
+		if w.isLate(now) && now.Before(w.Deadline) && s.queued > 1 && s.Withdraw(w) {
+			w.Verdicts <- Verdict{Refusal: s.tooLate(w)}
+			continue
+		}
 		if now.Before(w.Deadline) || !s.Withdraw(w) {
 			continue
 		}
@@ -259,6 +265,10 @@
 	}
 }
 
+func (s *Scheduler) tooLate(w *Waiter) *refuser.Refusal {
+	return refuser.Later(refuser.ReasonQueueFull, s.retryAfter(w.Class, 0), "the wait was longer than expected and others are in time")
+}
+
 // Flush gives every queued waiter the refusal. Running requests go on.
 func (s *Scheduler) Flush(refusal *refuser.Refusal) {
 	for _, rank := range s.ranks {
--- a/internal/scheduler/waiter.go
+++ b/internal/scheduler/waiter.go
@@ -41,6 +41,9 @@
 	Deadline time.Time
 	// Reservation is true for a claim on a slot by a request that another server holds.
 	Reservation bool
+	// Useful is until when a start leads to an answer in time; zero where that is not known. A waiter
+	// that is too late gives way to those that are not.
+	Useful time.Time
 	// Verdicts receives exactly one value for a waiter that Submit queued.
 	Verdicts chan Verdict
 
@@ -53,6 +56,11 @@
 	return &Waiter{Arrived: now, Class: class, Deadline: deadline}
 }
 
+// isLate reports whether an answer would come too late even if the request began now.
+func (w *Waiter) isLate(now time.Time) bool {
+	return !w.Useful.IsZero() && now.After(w.Useful)
+}
+
 // NewReservation returns a reservation that arrived at now.
 func NewReservation(now time.Time, class Class, deadline time.Time) *Waiter {
 	return &Waiter{Arrived: now, Class: class, Deadline: deadline, Reservation: true}
