--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -3,6 +3,7 @@
 package carrier
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/recorder"
@@ -46,40 +48,40 @@
 // Attempt is one try to run a caller's request at one node.
 type Attempt struct {
 	// Caller is the service on the VM where the call began.
-	Caller string `json:"caller,omitempty"`
+	Caller string `cbor:"1,keyasint,omitempty"`
 	// Call identifies the caller's request over all of its attempts.
-	Call string `json:"call"`
+	Call string `cbor:"2,keyasint,omitempty"`
 	// Chain identifies the outermost request that this one is made for.
-	Chain string `json:"chain,omitempty"`
+	Chain string `cbor:"3,keyasint,omitempty"`
 	// Depth is the number of calls above this one.
-	Depth int `json:"depth,omitempty"`
+	Depth int `cbor:"4,keyasint,omitempty"`
 	// Grant names the slot that the receiver holds for the attempt; zero for none.
-	Grant uint64 `json:"grant,omitempty"`
+	Grant uint64 `cbor:"5,keyasint,omitempty"`
 	// HandedOn is true for an attempt that another node of the service could not take at once.
-	HandedOn   bool `json:"handed-on,omitempty"`
-	Idempotent bool `json:"idempotent,omitempty"`
+	HandedOn   bool `cbor:"6,keyasint,omitempty"`
+	Idempotent bool `cbor:"7,keyasint,omitempty"`
 	// Incarnation is the receiver's incarnation that the attempt is meant for.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `cbor:"8,keyasint,omitempty"`
 	// Key is the caller's idempotency key, or empty.
-	Key       string `json:"key,omitempty"`
-	Neighbour string `json:"neighbour"`
+	Key       string `cbor:"9,keyasint,omitempty"`
+	Neighbour string `cbor:"10,keyasint,omitempty"`
 	// Optional is true where the sender has another node to try: the receiver hands the attempt back if
 	// it can't begin it at once on an upstream that is as fast as usual.
-	Optional bool   `json:"optional,omitempty"`
-	Rank     string `json:"rank"`
+	Optional bool   `cbor:"11,keyasint,omitempty"`
+	Rank     string `cbor:"12,keyasint,omitempty"`
 	// Relaxed is true where the answer comes in time even if the upstream is slow for a moment.
-	Relaxed bool `json:"relaxed,omitempty"`
+	Relaxed bool `cbor:"13,keyasint,omitempty"`
 	// Request is the id that the caller gave its request, or empty.
-	Request string `json:"request,omitempty"`
+	Request string `cbor:"14,keyasint,omitempty"`
 	// Sender and Sequence identify the attempt.
-	Sender   string `json:"sender"`
-	Sequence uint64 `json:"sequence"`
-	Service  string `json:"service"`
+	Sender   string `cbor:"15,keyasint,omitempty"`
+	Sequence uint64 `cbor:"16,keyasint,omitempty"`
+	Service  string `cbor:"17,keyasint,omitempty"`
 	// Timeout is the time left until the deadline when the attempt was sent.
-	Timeout time.Duration `json:"timeout"`
+	Timeout time.Duration `cbor:"18,keyasint,omitempty"`
 	// Useful is how long the attempt may wait for its start to be answered in time; zero where no target
 	// latency is set.
-	Useful time.Duration `json:"useful,omitempty"`
+	Useful time.Duration `cbor:"19,keyasint,omitempty"`
 }
 
 // ID returns the identity of the attempt.
@@ -109,10 +111,11 @@
 
 // seal writes the attempt and its signature into the headers of out.
 func seal(key *signer.Signer, a *Attempt, out *fasthttp.Request) error {
-	meta, err := json.Marshal(a)
+	packed, err := cbor.Marshal(a)
 	if err != nil {
 		return err
 	}
+	meta := base64.RawStdEncoding.AppendEncode(nil, packed)
 	out.Header.SetBytesV(headerAttempt, meta)
 	out.Header.Set(headerSignature, key.Hex(purposeAttempt, meta, out.Header.Method(), out.Header.RequestURI(), bodySum(out)))
 	return nil
@@ -127,7 +130,11 @@
 		return nil, ErrUnsigned
 	}
 	var a Attempt
-	if err := json.Unmarshal(meta, &a); err != nil {
+	packed, err := base64.RawStdEncoding.AppendDecode(nil, meta)
+	if err != nil {
+		return nil, err
+	}
+	if err := cbor.Unmarshal(packed, &a); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsigned, err)
 	}
 	req.Header.Del(headerAttempt)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -141,8 +141,6 @@
 		defer fasthttp.ReleaseResponse(resp)
 		state, _, err := c.ask(ctx, to, a, resp, c.clock.Now().Add(resolveTimeout), 0)
 		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return 0
 		case err != nil, state == recorder.StateRunning:
 			return p.patience.current()
 		case state == recorder.StateDone, a.Idempotent:
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -89,8 +89,8 @@
 	n.gossiper.SetUpstream(self.Service, self.Slots, announcer.StateDraining)
 	n.executor.Drain()
 	time.Sleep(min(settleTime, away))
-	for _, l := range n.entries {
-		l.Shut()
+	if n.callers != nil {
+		n.callers.Shut()
 	}
 	for n.inFlight() > 0 && n.clock.Now().Sub(started) < most {
 		time.Sleep(drainPoll)
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -79,8 +79,11 @@
 }
 
 func (n *Node) listen() error {
+	if n.settings.CallerAddress.IsValid() {
+		n.callers = n.newListener(n.serveCaller, n.callerLimits)
+	}
 	endpoints := []endpoint{
-		{address: n.settings.CallerAddress, field: "caller-address", own: n.newListener(n.serveCaller, n.callerLimits)},
+		{address: n.settings.CallerAddress, field: "caller-address", own: n.callers},
 		{address: n.settings.PeerAddress, field: "peer-address", own: n.newListener(n.servePeer, n.peerLimits)},
 		{address: n.settings.AdminAddress, field: "admin-address", handler: n.administrator.Serve},
 		{address: n.settings.AnnounceAddress, field: "announce-address", handler: n.serveAnnouncement},
@@ -219,7 +222,7 @@
 			to, _ = n.syncPartner()
 		}
 		wait = syncInterval
-		if err := n.syncOnce(ctx, to); err != nil {
+		if err := n.syncOnce(ctx, to); err != nil || n.isJoining() {
 			wait = syncStartInterval
 		}
 		select {
@@ -230,7 +233,10 @@
 	}
 }
 
-var errNobody = merry.Sentinel("no other member to compare with")
+var (
+	errNobody     = merry.Sentinel("no other member to compare with")
+	errOverBudget = merry.Sentinel("over the byte budget of membership")
+)
 
 func (n *Node) syncOnce(ctx context.Context, to netip.AddrPort) error {
 	if !to.IsValid() {
@@ -238,7 +244,7 @@
 	}
 	if !n.membershipBytes.Allows(syncBytes) {
 		n.meter.Event("comparisons_over_budget")
-		return nil
+		return errOverBudget
 	}
 	request := syncRequest{Digest: n.gossiper.Digest()}
 	var reply syncReply
@@ -254,24 +260,45 @@
 	return n.messenger.Call(ctx, to, messenger.PurposeMembership, methodSync, request, &reply)
 }
 
-// syncPartner returns a random live member, or a seed when there is none.
-func (n *Node) syncPartner() (netip.AddrPort, bool) {
-	random := newRandom()
+// joinTime is for how long after its start a node looks for all of its seeds.
+const joinTime = 5 * time.Second
+
+// isJoining reports whether the node has just started and does not know all of its seeds.
+func (n *Node) isJoining() bool {
+	return n.clock.Now().Sub(n.started) < joinTime && len(n.unknownSeeds()) > 0
+}
+
+// unknownSeeds returns the seeds that are not known as live members.
+func (n *Node) unknownSeeds() []netip.AddrPort {
+	live := n.liveMembers()
+	var unknown []netip.AddrPort
+	for _, seed := range n.settings.Seeds {
+		if seed != n.settings.ControlAddress && !slices.Contains(live, seed) {
+			unknown = append(unknown, seed)
+		}
+	}
+	return unknown
+}
+
+// liveMembers returns the control addresses of the other members that are not given up.
+func (n *Node) liveMembers() []netip.AddrPort {
 	var live []netip.AddrPort
 	for _, m := range n.gossiper.Members() {
 		if m.Name != n.settings.Name && m.Status <= gossiper.StatusSuspect {
 			live = append(live, m.Control)
 		}
 	}
-	if len(live) == 0 {
-		for _, seed := range n.settings.Seeds {
-			if seed != n.settings.ControlAddress {
-				live = append(live, seed)
-			}
-		}
+	return live
+}
+
+// syncPartner returns a random live member, or a seed while the node joins or knows nobody.
+func (n *Node) syncPartner() (netip.AddrPort, bool) {
+	partners := n.liveMembers()
+	if seeds := n.unknownSeeds(); len(seeds) > 0 && (len(partners) == 0 || n.isJoining()) {
+		partners = seeds
 	}
-	if len(live) == 0 {
+	if len(partners) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return live[random.IntN(len(live))], true
+	return partners[newRandom().IntN(len(partners))], true
 }
--- a/internal/relayer/maintain.go
+++ b/internal/relayer/maintain.go
@@ -99,7 +99,7 @@
 func (n *Node) form(ctx context.Context) {
 	if n.register.acceptor.Accepted() != nil {
 		if _, err := n.register.Read(ctx); err != nil {
-			n.log.Debug("The register can't be read yet.", "error", err)
+			n.log.Warn("The register can't be read yet.", "error", err)
 		}
 		return
 	}
@@ -113,7 +113,7 @@
 	}
 	value, err := n.register.proposer.Form(ctx, founders)
 	if err != nil {
-		n.log.Debug("The register is not formed yet.", "error", err)
+		n.log.Warn("The register is not formed yet.", "error", err)
 		return
 	}
 	n.log.Info("The register is formed.", "replicas", names(value.Replicas))
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -88,11 +88,13 @@
 	registrar       *registrar.Registrar
 	router          *router.Router
 	upstream        *localUpstream
-	entries         []*listener.Listener
-	interpreter     Interpreter
-	parse           func(text []byte) (*validator.Document, error)
-	policy          router.Policy
-	prober          *prober.Prober
+	// callers is nil on a node that takes no callers' requests.
+	callers     *listener.Listener
+	entries     []*listener.Listener
+	interpreter Interpreter
+	parse       func(text []byte) (*validator.Document, error)
+	policy      router.Policy
+	prober      *prober.Prober
 
 	duties    sync.WaitGroup
 	listeners []net.Listener
--- a/internal/replicator/packer.go
+++ b/internal/replicator/packer.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -18,13 +19,27 @@
 // Pack compresses a document's text (RFC 1952).
 func Pack(text string) []byte {
 	var packed bytes.Buffer
-	w := gzip.NewWriter(&packed)
+	w, ok := writers.Get().(*gzip.Writer)
+	if !ok {
+		return nil
+	}
+	defer writers.Put(w)
+	w.Reset(&packed)
 	// Writes to a buffer do not fail.
 	_, _ = io.WriteString(w, text)
 	_ = w.Close()
 	return packed.Bytes()
 }
 
+// writers keeps compressors, whose tables are large.
+var writers = sync.Pool{New: func() any {
+	w, err := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	if err != nil {
+		return gzip.NewWriter(io.Discard)
+	}
+	return w
+}}
+
 // Unpack returns the text that Pack compressed. The error wraps ErrPacked.
 func Unpack(packed []byte) (string, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
--- a/internal/replicator/query.go
+++ b/internal/replicator/query.go
@@ -23,6 +23,7 @@
 	votes := make(map[Ballot]int)
 
 	var agreed *Value
+	var ballot Ballot
 	ask(ctx, known, func(ctx context.Context, replica Replica) (QueryReply, error) {
 		return p.transport.Query(ctx, replica.VM, QueryRequest{DiskID: replica.DiskID, Known: held.Ballot})
 	}, func(_ Replica, reply QueryReply, err error) bool {
@@ -35,12 +36,13 @@
 		votes[reply.Accepted]++
 
 		if votes[reply.Accepted] > len(known)/2 {
-			agreed = reply.Value
+			agreed, ballot = reply.Value, reply.Accepted
 		}
 		return agreed != nil
 	})
 	if agreed == nil || len(agreed.Previous) > 0 || !sameReplicas(agreed.Replicas, known) {
 		return nil
 	}
+	p.hold(ballot, agreed)
 	return agreed
 }
--- a/internal/replicator/value.go
+++ b/internal/replicator/value.go
@@ -5,6 +5,7 @@
 package replicator
 
 import (
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 const (
 	maxHistory = 20
 	maxResults = 600
-	maxTexts   = 5
+	maxTexts   = 2
 )
 
 // Replica names one voter. A VM whose disk was lost is another replica.
@@ -36,11 +37,42 @@
 	// Revision rises by one with each change of the document or of the replicas.
 	Revision uint64 `json:"revision"`
 	// Text is the document as the operator wrote it.
-	Text string `json:"text"`
+	Text string `json:"text,omitempty"`
 	// Version is that of the document; zero before the first one.
 	Version uint64 `json:"version"`
 }
 
+// wireValue is a Value with its text compressed.
+type wireValue struct {
+	plainValue
+	Packed []byte `json:"packed"`
+}
+
+// plainValue has the fields of Value without its methods.
+type plainValue Value
+
+// MarshalJSON implements json.Marshaler.
+func (v *Value) MarshalJSON() ([]byte, error) {
+	wire := wireValue{plainValue: plainValue(*v), Packed: Pack(v.Text)}
+	wire.Text = ""
+	return json.Marshal(wire)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (v *Value) UnmarshalJSON(data []byte) error {
+	var wire wireValue
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return err
+	}
+	text, err := Unpack(wire.Packed)
+	if err != nil {
+		return err
+	}
+	*v = Value(wire.plainValue)
+	v.Text = text
+	return nil
+}
+
 // Entry is one version in the history.
 type Entry struct {
 	Author   string `json:"author,omitempty"`
