--- a/internal/cmd/nodecmd.go
+++ b/internal/cmd/nodecmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -29,6 +30,7 @@
 	if err != nil {
 		return withCode(ExitUsage, err)
 	}
+	debug.SetGCPercent(settings.GCPercent)
 	secrets, err := settings.LoadSecrets()
 	if err != nil {
 		return withCode(ExitUsage, err)
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -38,6 +39,7 @@
 	if err != nil {
 		return withCode(ExitUsage, err)
 	}
+	debug.SetGCPercent(settings.Product.GCPercent)
 	secrets, err := settings.Product.LoadSecrets()
 	if err != nil {
 		return withCode(ExitUsage, err)
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-const bufferBytes = 4096
+const bufferBytes = 2048
 
 // conn is one connection with its buffers.
 type conn struct {
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -19,6 +20,7 @@
 	headerRoom   = 1024
 	lingerTime   = time.Second
 	maxPipelined = 32
+	readBuffer   = 2048
 	writeBuffer  = 4096
 	writeTime    = 10 * time.Second
 )
@@ -62,7 +64,7 @@
 	c := &conn{Conn: raw, listener: l}
 	c.room.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.reader = bufio.NewReaderSize(raw, l.Limits().MaxHeaderBytes+headerRoom)
+	c.reader = bufio.NewReaderSize(raw, readBuffer)
 	return c
 }
 
@@ -105,7 +107,7 @@
 	limits := c.listener.Limits()
 	x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	err := x.request.Header.Read(c.reader)
+	err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+headerRoom)
 	if err == nil {
 		_ = c.SetReadDeadline(time.Now().Add(bodyTime))
 		err = c.readBody(x.request, limits.MaxBodyBytes)
@@ -123,6 +125,23 @@
 	return !last
 }
 
+// readHeader reads a header of at most limit bytes. The buffer grows to the limit for a long one only,
+// because most connections never see one.
+func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
+	err := header.Read(c.reader)
+	var small *fasthttp.ErrSmallBuffer
+	if !errors.As(err, &small) || c.reader.Size() >= limit {
+		return err
+	}
+	begun, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(begun)), c.Conn)
+	c.reader = bufio.NewReaderSize(rest, limit)
+	return header.Read(c.reader)
+}
+
 func (c *conn) readBody(req *fasthttp.Request, limit int) error {
 	if req.MayContinue() {
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -20,12 +20,14 @@
 
 // Defaults of optional settings.
 const (
+	DefaultGCPercent      = 100
 	DefaultLogLevel       = "info"
 	DefaultMaxBodyBytes   = 4 << 20
 	DefaultMaxHeaderBytes = 16 << 10
 	largestBody           = 64 << 20
 	largestHeader         = 1 << 20
 	minTokenBytes         = 16
+	mostGCPercent         = 1000
 	mostLosses            = 3
 	smallestHeader        = 1 << 10
 )
@@ -39,12 +41,14 @@
 	AdminTokenFile  string         `json:"admin-token-file"`
 	AnnounceAddress netip.AddrPort `json:"announce-address"`
 	// Bootstrap is true at the first start of the whole deployment, when no replica holds anything.
-	Bootstrap      bool             `json:"bootstrap"`
-	CallerAddress  netip.AddrPort   `json:"caller-address"`
-	ControlAddress netip.AddrPort   `json:"control-address"`
-	DataCentre     string           `json:"data-centre"`
-	DataFolder     string           `json:"data-folder"`
-	DocumentFile   string           `json:"document-file"`
+	Bootstrap      bool           `json:"bootstrap"`
+	CallerAddress  netip.AddrPort `json:"caller-address"`
+	ControlAddress netip.AddrPort `json:"control-address"`
+	DataCentre     string         `json:"data-centre"`
+	DataFolder     string         `json:"data-folder"`
+	DocumentFile   string         `json:"document-file"`
+	// GCPercent is how much the heap may grow between two collections, in percent of what is in use.
+	GCPercent      int              `json:"gc-percent"`
 	LogFormat      logger.Format    `json:"log-format"`
 	LogLevel       string           `json:"log-level"`
 	MaxBodyBytes   int              `json:"max-body-bytes"`
@@ -89,6 +93,7 @@
 // Parse reads and checks settings written in JSON with comments.
 func Parse(data []byte) (*Settings, error) {
 	settings := &Settings{
+		GCPercent:      DefaultGCPercent,
 		LogFormat:      logger.FormatLogfmt,
 		LogLevel:       DefaultLogLevel,
 		MaxBodyBytes:   DefaultMaxBodyBytes,
@@ -129,6 +134,9 @@
 	if s.PeerKeyFile == "" && !s.TrustNetwork {
 		return fail("peer-key-file", "", "want the path of a file")
 	}
+	if s.GCPercent < 1 || s.GCPercent > mostGCPercent {
+		return fail("gc-percent", s.GCPercent, fmt.Sprintf("want 1 to %d", mostGCPercent))
+	}
 	if s.ToleratedLosses < 0 || s.ToleratedLosses > mostLosses {
 		return fail("tolerated-losses", s.ToleratedLosses, fmt.Sprintf("want 0 to %d", mostLosses))
 	}
