Let one replica make the rounds while it is well; second sends in time for long targets

Change: a change goes to the first live replica by name, and is made here if that does not answer in 400 ms; one round at a time in a process; a replica that does not lead looks seldom; an acceptance writes the promise only if it is new.

--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -14,7 +14,11 @@
 )
 
 const (
+	// hedgeFloor is how many usual latencies a try gets at least before the next one begins.
+	hedgeFloor    = 2.5
 	hedgeQuantile = 0.98
+	// hedgeRoom is how many usual latencies a second try needs to be in time.
+	hedgeRoom     = 1.5
 	maxHedgeTries = 3
 	minHedgeDelay = 5 * time.Millisecond
 	usualQuantile = 0.5
@@ -113,8 +117,23 @@
 		return
 	}
 	for _, h := range d.hedges.at(target) {
-		go d.runHedge(h, meter.RetrySlow)
+		// A relaxed call has time to wait for the end of the slow span; its timer looks after it.
+		if !d.need(h.call).Relaxed {
+			go d.runHedge(h, meter.RetrySlow)
+		}
+	}
+}
+
+// hedgeDelay returns after what time the first try of a call is overdue, or zero while too little is
+// known: at the high quantile of its route, or earlier if a second try would not be in time any more.
+func (d *Dispatcher) hedgeDelay(call *Call) time.Duration {
+	known := d.latencies.of(call)
+	high, usual := known.high.Value(), known.usual.Value()
+	if high == 0 || call.Target == 0 {
+		return high
 	}
+	last := call.Target - time.Duration(hedgeRoom*float64(usual))
+	return min(high, max(last, time.Duration(hedgeFloor*float64(usual))))
 }
 
 // tryHedged makes a try, and a second one at another target if the first is overdue or its upstream
@@ -136,7 +155,7 @@
 	req.CopyTo(h.req)
 	d.hedges.add(h)
 	defer d.hedges.remove(h)
-	if delay := d.latencies.of(call).high.Value(); delay > 0 {
+	if delay := d.hedgeDelay(call); delay > 0 {
 		timer := d.Clock.AfterFunc(max(delay, minHedgeDelay), func() {
 			d.Targets.Overdue(h.target)
 			d.runHedge(h, meter.RetryHedge)
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,12 +16,14 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
 
 // Methods of the register.
 const (
 	methodAccept   = "accept"
+	methodChange   = "change"
 	methodDocument = "document"
 	methodPrepare  = "prepare"
 	methodPush     = "push"
@@ -30,6 +33,8 @@
 const (
 	learnInterval = time.Second
 	learnTimeout  = 3 * time.Second
+	// learnTurns is how many intervals a replica that does not lead lets pass on average.
+	learnTurns = 4
 )
 
 // Codes of errors between nodes.
@@ -46,12 +51,16 @@
 	// acceptor is nil on a node without a data folder.
 	acceptor *replicator.Acceptor
 	proposer *replicator.Proposer
+
+	mu sync.Mutex
+	// passedOver tells until when a leader that has not answered is passed over.
+	passedOver map[string]time.Time
 }
 
 func (n *Node) buildRegister() error {
 	r := &register{node: n}
 	// The wall clock can step back over a restart, so that the incarnation alone may not be new.
-	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, rand.Text()), r)
+	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
 	n.register = r
 	if n.settings.DataFolder == "" {
 		return nil
@@ -139,6 +148,10 @@
 		}
 		return pack(local), nil
 	})
+	handle(m, methodChange, func(ctx context.Context, p replicator.Change) (changeReply, error) {
+		version, err := r.apply(ctx, &p)
+		return replyOf(version, err)
+	})
 	handle(m, methodPush, func(_ context.Context, p pulled) (empty, error) {
 		return empty{}, r.node.take(&p)
 	})
@@ -226,11 +239,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return value, r.node.enforce(value)
+	return value, r.publish(value)
 }
 
 // Change implements administrator.Register.
 func (r *register) Change(ctx context.Context, change *replicator.Change) (uint64, error) {
+	if version, err, ok := r.forward(ctx, change); ok {
+		return version, err
+	}
+	return r.apply(ctx, change)
+}
+
+// apply makes the change by a round of this node.
+func (r *register) apply(ctx context.Context, change *replicator.Change) (uint64, error) {
 	r.prime()
 	value, version, err := r.proposer.Apply(ctx, change)
 	if value != nil {
@@ -354,6 +375,10 @@
 		if accepted == nil || accepted.Revision <= n.revision() {
 			return
 		}
+		if leader, ok := n.register.leader(); ok && leader.Name != n.settings.Name && rand.N(learnTurns) != 0 {
+			// Rounds of several replicas at once would outbid each other.
+			return
+		}
 		bounded, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
 		// A round that fails is made again.
--- a/internal/replicator/acceptor.go
+++ b/internal/replicator/acceptor.go
@@ -190,10 +190,12 @@
 		asserter.That(request.Value.Deployment == old.Deployment, "register-deployment", "%s after %s", request.Value.Deployment, old.Deployment)
 	}
 	next := acceptance{Ballot: request.Ballot, Value: request.Value}
-	if err := a.store(recordPromise, request.Ballot); err != nil {
-		return AcceptReply{}, err
+	if a.promise != request.Ballot {
+		if err := a.store(recordPromise, request.Ballot); err != nil {
+			return AcceptReply{}, err
+		}
+		a.promise = request.Ballot
 	}
-	a.promise = request.Ballot
 	if err := a.store(recordAccepted, next); err != nil {
 		return AcceptReply{}, err
 	}
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -69,6 +69,9 @@
 	name      string
 	transport Transport
 
+	// rounds lets one round go on at a time, since two would only outbid each other.
+	rounds chan struct{}
+
 	mu sync.Mutex
 	// chosen is the newest value that this proposer had accepted, with its ballot.
 	chosen acceptance
@@ -81,7 +84,7 @@
 
 // NewProposer returns a proposer; name must be of this node and its incarnation only.
 func NewProposer(clock timekeeper.Clock, name string, transport Transport) *Proposer {
-	return &Proposer{clock: clock, name: name, transport: transport}
+	return &Proposer{clock: clock, name: name, rounds: make(chan struct{}, 1), transport: transport}
 }
 
 // Follow tells the proposer of the replicas of a value that is in force.
@@ -189,6 +192,12 @@
 func (p *Proposer) round(ctx context.Context, step func(*Value) (*Value, error)) (*Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, roundTime)
 	defer cancel()
+	select {
+	case p.rounds <- struct{}{}:
+		defer func() { <-p.rounds }()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: another round takes long: %w", ErrNoMajority, ctx.Err())
+	}
 	pause := backoff
 	for {
 		value, err := p.ballot(ctx, step)
--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -16,8 +16,9 @@
 	fullCost      = 150 * time.Millisecond
 	loadCost      = 40 * time.Millisecond
 	// reportTime is for how long a target's word on its load is used.
-	reportTime = 400 * time.Millisecond
-	slowCost   = 250 * time.Millisecond
+	reportTime      = 400 * time.Millisecond
+	relaxedSlowCost = 100 * time.Millisecond
+	slowCost        = 250 * time.Millisecond
 	// jitterCost spreads the calls over targets that are alike.
 	jitterCost = 4 * time.Millisecond
 )
@@ -68,7 +69,10 @@
 	}
 	cost := time.Duration(float64(c.Distance) * distancePart * float64(target))
 	cost += time.Duration(c.FailureRate * float64(failureCost))
-	if c.Slow && !need.Relaxed {
+	switch {
+	case c.Slow && need.Relaxed:
+		cost += relaxedSlowCost
+	case c.Slow:
 		cost += slowCost
 	}
 	load := c.load()
