--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
+	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
 	"github.com/marigoldrelay/marigoldrelay/internal/relayer"
 	"github.com/marigoldrelay/marigoldrelay/internal/responder"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
@@ -120,6 +121,7 @@
 			PeerAddress:     addresses[4],
 			Region:          region,
 			Seeds:           d.seeds(),
+			UpstreamLease:   validator.Duration(registrar.LeaseTime),
 		},
 	}
 	if err := d.StartNode(station); err != nil {
--- /dev/null
+++ b/internal/maintainer/maintainer_test.go
@@ -0,0 +1,115 @@
+package maintainer
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+)
+
+// TestNext plays the views in testdata. A view lists the replicas as vm/disk, the nodes as vm/disk with
+// their state, the wanted number, and the set that should follow, or "keep".
+func TestNext(t *testing.T) {
+	archive, err := txtar.ParseFile(filepath.Join("testdata", "views.txtar"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		t.Run(file.Name, func(t *testing.T) {
+			view, want := parseView(t, string(file.Data))
+			next, changed := Next(view)
+			got := "keep"
+			if changed {
+				got = write(next)
+			}
+			if got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+func parseView(t *testing.T, text string) (view View, want string) {
+	t.Helper()
+	view.Settled = true
+	for line := range strings.Lines(text) {
+		key, rest, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		switch key {
+		case "replicas":
+			for _, word := range strings.Fields(rest) {
+				vm, disk, _ := strings.Cut(word, "/")
+				view.Replicas = append(view.Replicas, replicator.Replica{DiskID: disk, VM: vm})
+			}
+		case "nodes":
+			for _, word := range strings.Fields(rest) {
+				view.Candidates = append(view.Candidates, parseCandidate(t, word))
+			}
+		case "wanted":
+			count, err := strconv.Atoi(rest)
+			if err != nil {
+				t.Fatal(err)
+			}
+			view.Wanted = count
+		case "settled":
+			view.Settled = rest == "yes"
+		case "next":
+			want = rest
+		default:
+			t.Fatalf("no such field: %q", line)
+		}
+	}
+	return view, want
+}
+
+// parseCandidate reads vm/disk or vm/disk/gone:TIME.
+func parseCandidate(t *testing.T, word string) Candidate {
+	t.Helper()
+	parts := strings.Split(word, "/")
+	candidate := Candidate{DiskID: parts[1], Name: parts[0], Since: time.Hour}
+	if len(parts) > 2 {
+		since, err := time.ParseDuration(strings.TrimPrefix(parts[2], "gone:"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		candidate.Gone, candidate.Since = true, since
+	}
+	return candidate
+}
+
+func write(replicas []replicator.Replica) string {
+	words := make([]string, 0, len(replicas))
+	for _, replica := range replicas {
+		words = append(words, fmt.Sprintf("%s/%s", replica.VM, replica.DiskID))
+	}
+	return strings.Join(words, " ")
+}
+
+// TestActs checks that nodes take their turns in the order of their names, the dead left out.
+func TestActs(t *testing.T) {
+	view := View{
+		Candidates: []Candidate{{Name: "a", Gone: true}, {Name: "b"}, {Name: "c"}, {Name: "d"}},
+		Replicas:   []replicator.Replica{{VM: "c"}, {VM: "b"}, {VM: "a"}},
+	}
+	tests := []struct {
+		self   string
+		waited time.Duration
+		want   bool
+	}{
+		{"a", time.Hour, false},
+		{"b", 0, true},
+		{"c", 0, false},
+		{"c", turnTime, true},
+		{"d", time.Hour, false},
+	}
+	for _, test := range tests {
+		if got := Acts(view, test.self, test.waited); got != test.want {
+			t.Errorf("%s after %s: %t", test.self, test.waited, got)
+		}
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -70,7 +70,6 @@
 	node        Node
 
 	address netip.AddrPort
-	last    time.Time
 	pool    *forwarder.Pool
 }
 
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -79,25 +79,29 @@
 
 // forward has the leader make the change. It reports false where the node has to do it itself, because
 // it leads or the leader has not answered. Making it twice is harmless: the change has an id.
-func (r *register) forward(ctx context.Context, change *replicator.Change) (version uint64, err error, ok bool) {
+func (r *register) forward(ctx context.Context, change *replicator.Change) (reply changeReply, ok bool) {
 	leader, found := r.leader()
 	if !found || leader.Name == r.node.settings.Name {
-		return 0, nil, false
+		return changeReply{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
-	var reply changeReply
 	if err := r.node.messenger.Call(ctx, leader.Control, messenger.PurposeConfiguration, methodChange, change, &reply); err != nil {
 		r.node.log.Warn("The leader has not made a change.", "leader", leader.Name, "id", change.ID, "error", err)
 		r.passOver(leader.Name)
-		return 0, nil, false
+		return changeReply{}, false
 	}
+	return reply, true
+}
+
+// outcome returns what the reply stands for.
+func (c changeReply) outcome() (version uint64, err error) {
 	switch {
-	case reply.Conflict != nil:
-		return 0, reply.Conflict, true
-	case reply.IsBelow:
-		return 0, replicator.ErrVersion, true
+	case c.Conflict != nil:
+		return 0, c.Conflict
+	case c.IsBelow:
+		return 0, replicator.ErrVersion
 	default:
-		return reply.Version, nil, true
+		return c.Version, nil
 	}
 }
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -244,8 +244,8 @@
 
 // Change implements administrator.Register.
 func (r *register) Change(ctx context.Context, change *replicator.Change) (uint64, error) {
-	if version, err, ok := r.forward(ctx, change); ok {
-		return version, err
+	if reply, ok := r.forward(ctx, change); ok {
+		return reply.outcome()
 	}
 	return r.apply(ctx, change)
 }
