--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -129,9 +129,12 @@
 func (d *Dispatcher) hedgeDelay(call *Call) time.Duration {
 	known := d.latencies.of(call)
 	high, usual := known.high.Value(), known.usual.Value()
-	if high == 0 || call.Target == 0 {
+	if call.Target == 0 {
 		return high
 	}
+	if high == 0 {
+		return call.Target
+	}
 	last := call.Target - time.Duration(hedgeRoom*float64(usual))
 	return min(high, max(last, time.Duration(hedgeFloor*float64(usual))))
 }
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -108,7 +108,8 @@
 // minUseful tells a node that the answer will be late in any case.
 const minUseful = time.Millisecond
 
-// useful returns how long the call may wait for its start to be answered in time, or zero.
+// useful returns how long the call may wait for its start to be answered in time, or zero. A caller that
+// has no time to come back is better served late than refused.
 func (d *Dispatcher) useful(call *Call) time.Duration {
 	if call.Target == 0 {
 		return 0
@@ -117,7 +118,11 @@
 	if usual == 0 {
 		usual = call.Target / 2
 	}
-	return max(minUseful, call.Target-usual-d.Clock.Now().Sub(call.Started))
+	now := d.Clock.Now()
+	if left := call.Until.Sub(now); left < minRetryAfter+call.Target {
+		return max(minUseful, left-2*usual)
+	}
+	return max(minUseful, call.Target-usual-now.Sub(call.Started))
 }
 
 // note books a try that is followed by another.
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -108,6 +108,9 @@
 	x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}}
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+headerRoom)
+	if err == nil && len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
+		err = &fasthttp.ErrSmallBuffer{}
+	}
 	if err == nil {
 		_ = c.SetReadDeadline(time.Now().Add(bodyTime))
 		err = c.readBody(x.request, limits.MaxBodyBytes)
