Lines on attempts, second sends and members; explain joins them; counters with outcomes

A call that can't come back is refused only if its deadline can't be met without the slow span (lookups were turned away from slow upstreams).

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -91,6 +91,7 @@
 			newDemoCommand(),
 			newLoadCommand(),
 			newNodeCommand(),
+			newExplainCommand(),
 			newPlatformCommand(),
 			newStatusCommand(),
 			newUpstreamCommand(),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -94,7 +94,9 @@
 	// FailedBelow is told of the parent of a call that failed for good.
 	FailedBelow func(call string)
 	// Finished is told of each call with its outcome; nil tells nobody.
-	Finished    func(call *Call, journey *Journey, resp *fasthttp.Response, refusal *refuser.Refusal)
+	Finished func(call *Call, journey *Journey, resp *fasthttp.Response, refusal *refuser.Refusal)
+	// Hedged is told of each second try with the targets of both; nil tells nobody.
+	Hedged      func(call *Call, first, second string, reason meter.RetryReason)
 	Interpreter Interpreter
 	Meter       *meter.Meter
 	Name        string
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -223,6 +223,9 @@
 			break
 		}
 		h.exclude = append(h.exclude, target.Name)
+		if d.Hedged != nil {
+			d.Hedged(h.call, h.target, target.Name, reason)
+		}
 		outcome = d.try(h.ctx, h.call, target.Member, true, true, h.req, h.resp)
 		if outcome.Reached() || !isHandBack(&outcome) {
 			break
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -22,6 +22,10 @@
 	HandBacks int
 	// Hedged is true where a second try was begun beside the first.
 	Hedged bool
+	// Load, LoadAge and Slow are what was believed of the target of the last try.
+	Load    float64
+	LoadAge time.Duration
+	Slow    bool
 	// Runs is the number of tries that an upstream may have run.
 	Runs int
 	// Target is the node of the last try.
@@ -49,6 +53,7 @@
 		}
 		j.Tries++
 		j.Target = choice.Name
+		j.Load, j.LoadAge, j.Slow = choice.Load, choice.LoadAge, choice.Slow
 		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
 		j.count(&outcome)
 		reason, again := d.again(call, &outcome, resp)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -99,11 +99,13 @@
 
 // Config holds the dependencies of an Executor.
 type Config struct {
-	Bytes *budgeter.Bytes
-	Clock timekeeper.Clock
-	Links Links
-	Meter *meter.Meter
-	Name  string
+	// Attempted is told of each attempt that has ended here; nil tells nobody.
+	Attempted func(x *Execution, outcome *carrier.Outcome, seen Seen)
+	Bytes     *budgeter.Bytes
+	Clock     timekeeper.Clock
+	Links     Links
+	Meter     *meter.Meter
+	Name      string
 	// OnDown is told that the upstream's process is gone.
 	OnDown      func(instance string)
 	Quarantiner *quarantiner.Quarantiner
@@ -285,8 +287,11 @@
 // Execute runs the attempt here, or on a sibling, or refuses it. The answer is left in the
 // execution's response.
 func (e *Executor) Execute(ctx context.Context, x *Execution) carrier.Outcome {
+	started := e.Clock.Now()
 	if refusal := e.preclude(x); refusal != nil {
-		return e.refused(refusal)
+		outcome := e.refused(refusal)
+		e.tellAttempted(x, &outcome, started)
+		return outcome
 	}
 	id := x.Attempt.ID()
 	if err := e.Recorder.Begin(id); err != nil {
@@ -302,9 +307,35 @@
 	}
 	e.mu.Unlock()
 	e.record(id, x, outcome)
+	e.tellAttempted(x, &outcome, started)
 	return outcome
 }
 
+// Seen is what the executor knew when an attempt ended.
+type Seen struct {
+	Instance string
+	LoadAge  time.Duration
+	Queued   int
+	Running  int
+	Slowdown float64
+	// Took is the time since the attempt arrived.
+	Took time.Duration
+}
+
+func (e *Executor) tellAttempted(x *Execution, outcome *carrier.Outcome, started time.Time) {
+	if e.Attempted == nil {
+		return
+	}
+	now := e.Clock.Now()
+	e.mu.Lock()
+	seen := Seen{
+		Instance: e.announcement.Instance, LoadAge: now.Sub(e.load.at), Queued: e.schedule.Queued(),
+		Running: e.schedule.Running(), Slowdown: e.load.slowdown, Took: now.Sub(started),
+	}
+	e.mu.Unlock()
+	e.Attempted(x, outcome, seen)
+}
+
 // record keeps the outcome of a non-idempotent attempt for a sender that lost its connection.
 func (e *Executor) record(id recorder.ID, x *Execution, outcome carrier.Outcome) {
 	if x.Attempt.Idempotent {
--- a/internal/logger/ring.go
+++ b/internal/logger/ring.go
@@ -39,10 +39,19 @@
 	case r.lines <- copied:
 	default:
 		r.lost.Add(1)
+		lostLines.Add(1)
 	}
 	return len(line), nil
 }
 
+// lostLines counts the lines that all rings of the process have lost.
+var lostLines atomic.Uint64
+
+// LostLines returns how many lines the process has lost.
+func LostLines() uint64 {
+	return lostLines.Load()
+}
+
 // Lost returns the number of lost lines.
 func (r *Ring) Lost() uint64 {
 	return r.lost.Load()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,7 @@
 
 // New returns a meter with every refusal and retry counter at zero.
 func New() *Meter {
+	metrics.ExposeMetadata(true)
 	m := &Meter{set: metrics.NewSet()}
 	for _, reason := range refuser.Reasons() {
 		m.refusals(reason)
@@ -88,6 +89,14 @@
 	m.set.GetOrCreateHistogram("marigoldrelay_added_seconds" + labels).Update(added.Seconds())
 }
 
+// Finished records how long a call took until it had its outcome, and how old the knowledge was by which
+// its target was picked.
+func (m *Meter) Finished(service, rank, outcome string, took, loadAge time.Duration) {
+	labels := fmt.Sprintf(`{service=%q,rank=%q,outcome=%q}`, service, rank, outcome)
+	m.set.GetOrCreateHistogram("marigoldrelay_finished_seconds" + labels).Update(took.Seconds())
+	m.set.GetOrCreateHistogram("marigoldrelay_load_age_seconds").Update(loadAge.Seconds())
+}
+
 // Count implements messenger.Meter: bytes of control traffic sent for a purpose.
 func (m *Meter) Count(purpose string, bytes int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_control_bytes_total{purpose=%q}`, purpose)).Add(bytes)
--- a/internal/relayer/journal.go
+++ b/internal/relayer/journal.go
@@ -1,64 +1,145 @@
 package relayer
 
 import (
-	"time"
+	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/dispatcher"
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/logger"
+	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 const (
-	// plainLinesPerSecond bounds the lines on calls that went well; the others are told of up to
-	// lineLimit.
-	plainLinesPerSecond = 5
-	lineLimit           = 200
+	// linesPerSecond bounds the lines on requests and on what changes often.
+	linesPerSecond = 150
+	// plainLinesPerSecond bounds those on what went as usual.
+	plainLinesPerSecond = 10
+	// tracedPart is the part of the requests, 1 in so many, of which every node tells all.
+	tracedPart = 32
 )
 
-// lineBudget counts the lines of the current second.
-type lineBudget struct {
+// journal writes the lines on requests and on beliefs that change often. What went as usual is left out
+// first; requests are chosen by their id, so that all nodes tell of the same ones.
+type journal struct {
+	clock timekeeper.Clock
+	log   *logger.Part
+	meter *meter.Meter
+
+	mu     sync.Mutex
 	plain  int
 	second int64
 	total  int
 }
 
+func newJournal(clock timekeeper.Clock, log *logger.Part, m *meter.Meter) *journal {
+	return &journal{clock: clock, log: log, meter: m}
+}
+
 // allows reports whether another line may be written, and books it.
-func (b *lineBudget) allows(now time.Time, plain bool) bool {
-	if second := now.Unix(); second != b.second {
-		*b = lineBudget{second: second}
+func (j *journal) allows(plain bool) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if second := j.clock.Now().Unix(); second != j.second {
+		j.second, j.plain, j.total = second, 0, 0
 	}
-	if b.total >= lineLimit || (plain && b.plain >= plainLinesPerSecond) {
+	if j.total >= linesPerSecond || (plain && j.plain >= plainLinesPerSecond) {
+		j.meter.Event("log_lines_left_out")
 		return false
 	}
-	b.total++
+	j.total++
 	if plain {
-		b.plain++
+		j.plain++
 	}
 	return true
 }
 
-// finished writes a line on a call that has ended at this entry node. Calls that went well are sampled.
+// isTraced reports whether all is told of the request.
+func isTraced(request string) bool {
+	return request != "" && xxhash.Sum64String(request)%tracedPart == 0
+}
+
+// write writes a line on something that went as usual, or not.
+func (j *journal) write(plain bool, message string, keyvals ...any) {
+	if j.allows(plain) {
+		j.log.Info(message, keyvals...)
+	}
+}
+
+// finished tells of a call that has ended at this entry node.
 func (n *Node) finished(call *dispatcher.Call, j *dispatcher.Journey, resp *fasthttp.Response, refusal *refuser.Refusal) {
-	now := n.clock.Now()
+	took := n.clock.Now().Sub(call.Started)
+	n.meter.Finished(call.Service, call.Rank, outcomeOf(resp, refusal), took, j.LoadAge)
 	isGood := refusal == nil && resp.StatusCode() < fasthttp.StatusBadRequest
-	n.lineMu.Lock()
-	allowed := n.lines.allows(now, isGood)
-	n.lineMu.Unlock()
-	if !allowed {
-		n.meter.Event("call_lines_left_out")
+	if isGood && !isTraced(call.Request) {
 		return
 	}
 	line := []any{
 		"request", call.Request, "call", call.ID, "route", call.Route, "service", call.Service, "rank", call.Rank,
 		"target", j.Target, "tries", j.Tries, "arrivals", j.Arrivals, "hand-backs", j.HandBacks, "hedged", j.Hedged,
-		"took", now.Sub(call.Started), "left", call.Deadline.Sub(now), "version", n.documentVersion(),
+		"believed-load", j.Load, "believed-slow", j.Slow, "load-age", j.LoadAge,
+		"took", took, "left", call.Deadline.Sub(n.clock.Now()), "version", n.documentVersion(),
 	}
 	if refusal != nil {
-		line = append(line, "outcome", "refused", "reason", refusal.Reason, "not-run", refusal.NotRun,
-			"retry-after", refusal.RetryAfter, "detail", refusal.Detail)
-		n.log.Info("A call was refused.", line...)
+		n.journal.write(false, "A call was refused.", append(line, "reason", refusal.Reason, "not-run", refusal.NotRun,
+			"retry-after", refusal.RetryAfter, "detail", refusal.Detail)...)
+		return
+	}
+	n.journal.write(isGood, "A call was answered.", append(line, "status", resp.StatusCode())...)
+}
+
+// outcomeOf returns the label under which a call is counted.
+func outcomeOf(resp *fasthttp.Response, refusal *refuser.Refusal) string {
+	switch {
+	case refusal != nil:
+		return string(refusal.Reason)
+	case resp.StatusCode() >= fasthttp.StatusInternalServerError:
+		return "error-answer"
+	default:
+		return "answered"
+	}
+}
+
+// hedged tells of a second try beside the first.
+func (n *Node) hedged(call *dispatcher.Call, first, second string, reason meter.RetryReason) {
+	n.journal.write(!isTraced(call.Request), "A second try begins.", "request", call.Request, "call", call.ID,
+		"first", first, "second", second, "reason", reason, "took", n.clock.Now().Sub(call.Started))
+}
+
+// isOrdinary reports whether the outcome is part of every day: an answer, a request that was handed back,
+// or the loser of two tries.
+func isOrdinary(outcome *carrier.Outcome) bool {
+	if outcome.Refusal == nil {
+		return true
+	}
+	switch outcome.Refusal.Reason {
+	case refuser.ReasonBusy, refuser.ReasonCancelled:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempted tells of an attempt that has ended at the node beside the upstream.
+func (n *Node) attempted(x *executor.Execution, outcome *carrier.Outcome, seen executor.Seen) {
+	isGood := isOrdinary(outcome)
+	if isGood && !isTraced(x.Attempt.Request) {
+		return
+	}
+	line := []any{
+		"request", x.Attempt.Request, "call", x.Attempt.Call, "sender", x.Attempt.Sender, "sequence", x.Attempt.Sequence,
+		"instance", seen.Instance, "running", seen.Running, "queued", seen.Queued, "slowdown", seen.Slowdown,
+		"load-age", seen.LoadAge, "took", seen.Took, "used", outcome.Used, "optional", x.Attempt.Optional,
+		"arrived", outcome.Arrived,
+	}
+	if refusal := outcome.Refusal; refusal != nil {
+		n.journal.write(isGood, "An attempt was refused.", append(line, "reason", refusal.Reason, "not-run", refusal.NotRun, "detail", refusal.Detail)...)
 		return
 	}
-	n.log.Info("A call was answered.", append(line, "outcome", "answered", "status", resp.StatusCode())...)
+	n.journal.write(true, "An attempt was answered.", append(line, "status", x.Response.StatusCode())...)
 }
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -68,6 +68,8 @@
 
 // LoadSeen implements gossiper.Observer.
 func (n *Node) LoadSeen(from gossiper.Member, load gossiper.Load) {
+	n.log.Debug("The load of a node changed.", "member", from.Name, "running", load.Running,
+		"queued", load.Queued, "slots", load.Slots, "slowdown-percent", load.Slowdown)
 	n.dispatcher.LoadSeen(from.Name, fromGossip(load))
 }
 
@@ -147,10 +149,12 @@
 		return empty{}, nil
 	})
 	handle(m, methodCrash, func(_ context.Context, p quarantiner.Crash) (empty, error) {
+		n.log.Warn("An upstream has crashed elsewhere.", "instance", p.Instance, "service", p.Service, "suspects", len(p.Fingerprints))
 		n.quarantiner.Report(p)
 		return empty{}, nil
 	})
 	handle(m, methodInnocent, func(_ context.Context, p quarantiner.Acquittal) (empty, error) {
+		n.log.Info("A suspect request ran well.", "fingerprint", p.Fingerprint, "service", p.Service)
 		n.quarantiner.Clear(p.Fingerprint)
 		return empty{}, nil
 	})
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -101,8 +101,7 @@
 	servers   []*fasthttp.Server
 	socket    *net.UDPConn
 	leaving   atomic.Bool
-	lineMu    sync.Mutex
-	lines     lineBudget
+	journal   *journal
 	started   time.Time
 	stop      context.CancelFunc
 	tracker   *conntracker.Tracker
@@ -160,6 +159,7 @@
 		meter:     meter.New(),
 		tracker:   conntracker.New(),
 	}
+	n.journal = newJournal(n.clock, n.log, n.meter)
 	n.interpreter = interpreter.Native{}
 	n.parse = validator.Parse
 	n.policy = router.Weighted{}
@@ -197,6 +197,10 @@
 		}
 	})
 	n.handleMessages()
+	n.meter.Gauge("document_version", func() float64 { return float64(n.documentVersion()) })
+	n.meter.Gauge("register_revision", func() float64 { return float64(n.revision()) })
+	n.meter.Gauge("live_members", func() float64 { return float64(len(n.liveMembers()) + 1) })
+	n.meter.Gauge("log_lines_lost", func() float64 { return float64(logger.LostLines()) })
 	asserter.Observe(func(name, detail string) {
 		n.log.Error("An invariant failed.", "invariant", name, "detail", detail)
 	})
@@ -246,6 +250,7 @@
 		},
 	}
 	n.executor = executor.New(executor.Config{
+		Attempted:   n.attempted,
 		Bytes:       n.bindingBytes,
 		Clock:       n.clock,
 		Links:       links,
@@ -270,6 +275,7 @@
 		Clock:       n.clock,
 		FailedBelow: n.executor.FailedBelow,
 		Finished:    n.finished,
+		Hedged:      n.hedged,
 		Interpreter: n.interpreter,
 		Meter:       n.meter,
 		Name:        sender,
@@ -401,7 +407,8 @@
 // MemberChanged implements gossiper.Observer.
 func (n *Node) MemberChanged(m gossiper.Member) {
 	n.router.Update(m)
-	n.log.Debug("A member changed.", "member", m.Name, "status", m.Status, "upstream", m.Upstream)
+	n.journal.write(m.Status == gossiper.StatusAlive, "A member changed.", "member", m.Name, "status", m.Status,
+		"incarnation", m.Incarnation, "sequence", m.Sequence, "service", m.Service, "upstream", m.Upstream)
 }
 
 // ViewDiffers implements gossiper.Observer.
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -124,6 +124,7 @@
 		if r.acceptor == nil {
 			return replicator.PrepareReply{}, wireError(errNoReplica)
 		}
+		r.node.meter.Event("register_prepares")
 		reply, err := r.acceptor.Prepare(p)
 		return reply, wireError(err)
 	})
@@ -131,6 +132,7 @@
 		if r.acceptor == nil || p.Value == nil {
 			return replicator.AcceptReply{}, wireError(errNoReplica)
 		}
+		r.node.meter.Event("register_accepts")
 		reply, err := r.acceptor.Accept(p)
 		return reply, wireError(err)
 	})
@@ -138,6 +140,7 @@
 		if r.acceptor == nil {
 			return replicator.QueryReply{}, wireError(errNoReplica)
 		}
+		r.node.meter.Event("register_queries")
 		reply, err := r.acceptor.Query(p)
 		return reply, wireError(err)
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,8 +17,10 @@
 	failureSmoothing = 0.2
 	failuresToRest   = 3
 	maxRest          = 10 * time.Second
-	minRest          = 500 * time.Millisecond
-	minWeight        = 0.02
+	// maxReportAge stands for every longer time, and for a target that was never heard of.
+	maxReportAge = time.Minute
+	minRest      = 500 * time.Millisecond
+	minWeight    = 0.02
 	// slowFactor is the slowdown from which an upstream counts as slow.
 	slowFactor = 2.0
 	// slowTime is for how long a target's word that it is slow is believed.
@@ -122,7 +124,11 @@
 		// One call probes a target that has rested; the others wait for its outcome.
 		picked.restUntil = now.Add(picked.rest)
 	}
-	return Choice{Member: picked.Member, Others: others, Prompt: candidates[index].isPrompt(need)}, true
+	believed := &candidates[index]
+	return Choice{
+		Load: believed.load(), LoadAge: believed.ReportAge, Member: picked.Member, Others: others,
+		Prompt: believed.isPrompt(need), Slow: believed.Slow,
+	}, true
 }
 
 // Need is what a call asks of its target.
@@ -137,6 +143,11 @@
 // Choice is a picked target.
 type Choice struct {
 	gossiper.Member
+	// Load is the part of the slots that was in use when LoadAge ago the target was heard of; Slow is
+	// whether its upstream was slow.
+	Load    float64
+	LoadAge time.Duration
+	Slow    bool
 	// Prompt is true where the target is believed to have room and its usual speed.
 	Prompt bool
 	// Others is the number of further targets that could be picked.
@@ -188,7 +199,7 @@
 			Name:        t.Name,
 			Outstanding: t.outstanding,
 			Reported:    t.reported,
-			ReportAge:   now.Sub(t.reportedAt),
+			ReportAge:   min(maxReportAge, now.Sub(t.reportedAt)),
 			Slots:       t.Slots,
 			Slow:        now.Before(t.slowUntil),
 			Weight:      t.weight(typical),
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -14,13 +14,13 @@
 	if w.Reservation {
 		return nil
 	}
-	wait := s.ExpectedWait(w.Class) + s.pause
+	wait := s.ExpectedWait(w.Class)
 	target := s.rankConfig(w.Class.Rank).TargetWait
 	if !w.Useful.IsZero() {
 		target = w.Useful.Sub(now)
 	}
 	// A neighbour can always have one request in the queue, so that expensive ones get their share.
-	if wait > target && len(s.flow(w.Class).queue) > 0 {
+	if wait+s.pause > target && len(s.flow(w.Class).queue) > 0 {
 		return refuser.Later(refuser.ReasonQueueFull, s.retryAfter(w.Class, target), "the expected wait is too long")
 	}
 	if now.Add(wait + s.cost(w.Class)).After(w.Deadline) {
