--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -74,9 +74,9 @@
 	n.log.Error("The settings can't be read again.", "error", err)
 }
 
-// DrainFor hands new work to others and finishes what is in flight. For the time away callers are still
-// served, since they need it to notice that the node is not ready; then nothing new is begun. It returns
-// when nothing is in flight, or after the time most.
+// DrainFor hands new work to others and finishes what is in flight. For the time away everything goes on,
+// since callers need it to notice that the node is not ready; then the upstream is left to the node's
+// next start and no more requests are taken. It returns when nothing is in flight, or after the time most.
 func (n *Node) DrainFor(away, most time.Duration) {
 	n.log.Info("Draining.", "away", away, "most", most)
 	started := n.clock.Now()
