--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -164,13 +164,13 @@
 		c.peer(to.Peer).pool.CloseIdle()
 	}
 	if a.Idempotent {
-		return lost(err)
+		return lost(a, err)
 	}
 	c.counter.Event("resolves")
 	return c.resolve(ctx, to, a, resp, deadline)
 }
 
-func lost(err error) Outcome {
+func lost(a *Attempt, err error) Outcome {
 	reason := refuser.ReasonUpstreamLost
 	if errors.Is(err, forwarder.ErrTimeout) {
 		reason = refuser.ReasonDeadline
@@ -178,7 +178,7 @@
 	if errors.Is(err, forwarder.ErrCancelled) {
 		reason = refuser.ReasonCancelled
 	}
-	return Outcome{Arrived: true, Lost: true, Refusal: refuser.Unknown(reason, err.Error())}
+	return Outcome{Arrived: true, Lost: a.Idempotent, Refusal: refuser.Unknown(reason, err.Error())}
 }
 
 // question asks a node about an attempt.
@@ -208,13 +208,16 @@
 			return outcome
 		case state == recorder.StateBarred && a.Idempotent:
 			// The outcome of an idempotent attempt is not kept, so this one may have run.
-			return lost(forwarder.ErrLost)
+			return lost(a, forwarder.ErrLost)
 		case state == recorder.StateBarred:
 			return Outcome{Refusal: refuser.New(refuser.ReasonUpstreamLost, "the request did not reach the node and is barred there")}
 		case state == StateOtherIncarnation:
 			return unknown(a, "the node that had the request was restarted")
 		}
 	}
+	if ctx.Err() != nil {
+		return lost(a, forwarder.ErrCancelled)
+	}
 	return unknown(a, "the outcome was not known by the deadline")
 }
 
