--- a/internal/dispatcher/notice_test.go
+++ b/internal/dispatcher/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,10 +24,9 @@
 // it. The call is answered by another one.
 func TestNoticeBeginsASecondTry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tries := 0
+		var tries atomic.Int64
 		chain := newChain(t, 1, func() carrier.Outcome {
-			tries++
-			if tries == 101 {
+			if tries.Add(1) == 101 {
 				time.Sleep(time.Second)
 			}
 			time.Sleep(10 * time.Millisecond)
