Slow from three times the usual on; learn usual latencies from 8 samples; end within the grace time

Processes that were still there at the end of the grace time waited 2 s for idle connections of the administration server.

--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -9,8 +9,9 @@
 const (
 	// loadTime is how long a report of the upstream's load is of use.
 	loadTime = 150 * time.Millisecond
-	// slowFactor is the slowdown from which an upstream counts as slow.
-	slowFactor = 2.0
+	// slowFactor is the slowdown from which an upstream counts as slow; one that has just started is
+	// about twice as slow for longer than a request can wait.
+	slowFactor = 3.0
 	// slowPause is how much longer a request at an upstream that has turned slow takes on average.
 	slowPause = 200 * time.Millisecond
 )
--- a/internal/quantiler/quantiler.go
+++ b/internal/quantiler/quantiler.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// minSamples is how many samples an estimate needs before it is used.
-	minSamples = 50
-	minSample  = time.Microsecond
+	// tailSamples is how many samples on the rarer side of the quantile an estimate needs, on average,
+	// before it is used; it needs minSamples in any case.
+	tailSamples = 1.0
+	minSamples  = 8
+	minSample   = time.Microsecond
 	// step is the size of both steps together, as a logarithm.
 	step = 0.2
 )
@@ -19,6 +21,7 @@
 // balance at the quantile (frugal streaming; Ma, Muthukrishnan and Sandler, 2013). It is safe for
 // concurrent use.
 type Estimate struct {
+	needed   int
 	quantile float64
 
 	mu      sync.Mutex
@@ -29,7 +32,8 @@
 
 // New returns an estimate of the quantile, which is between 0 and 1.
 func New(quantile float64) *Estimate {
-	return &Estimate{quantile: quantile}
+	rarer := min(quantile, 1-quantile)
+	return &Estimate{needed: max(minSamples, int(math.Round(tailSamples/rarer))), quantile: quantile}
 }
 
 // Observe takes one sample.
@@ -52,7 +56,7 @@
 func (e *Estimate) Value() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.samples < minSamples {
+	if e.samples < e.needed {
 		return 0
 	}
 	return time.Duration(math.Exp(e.value) * float64(time.Second))
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -53,7 +53,7 @@
 	gossipPart         = 0.35
 	membershipPart     = 0.15
 	leaveTime          = 500 * time.Millisecond
-	shutdownTimeout    = 2 * time.Second
+	shutdownTimeout    = 300 * time.Millisecond
 )
 
 // Node is one process beside an upstream.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,7 +22,7 @@
 	minRest      = 500 * time.Millisecond
 	minWeight    = 0.02
 	// slowFactor is the slowdown from which an upstream counts as slow.
-	slowFactor = 2.0
+	slowFactor = 3.0
 	// slowTime is for how long a target's word that it is slow is believed.
 	slowTime = 400 * time.Millisecond
 	// suspectTime is for how long a target whose answer is overdue is passed over.
