Let calls on routes that were just added queue when their callers can't come back

Cause, from their lines: queue-full after 20 us with 887 ms left; the usual latency of a new route was taken as half of its target (1 s), twice that was taken off the 1 s that the caller had, and nothing was left to wait. Now a quarter of what is left stands in. Ruled out: that the nodes did not know the routes.

--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -100,8 +100,8 @@
 	return choice, false, ok
 }
 
-// slowSpan is for how long an upstream that shares its VM is slow at a time, as a rule.
-const slowSpan = 500 * time.Millisecond
+// slowSpan is for how long an upstream that shares its VM can be slow: two spans of half a second.
+const slowSpan = time.Second
 
 // need returns what the call asks of its target.
 func (d *Dispatcher) need(call *Call) router.Need {
@@ -120,13 +120,16 @@
 		return 0
 	}
 	usual := d.latencies.of(call).usual.Value()
-	if usual == 0 {
-		usual = call.Target / 2
-	}
 	now := d.Clock.Now()
 	if left := call.Until.Sub(now); left < minRetryAfter+call.Target {
+		if usual == 0 {
+			usual = left / 4
+		}
 		return max(minUseful, left-2*usual)
 	}
+	if usual == 0 {
+		usual = call.Target / 2
+	}
 	return max(minUseful, call.Target-usual-now.Sub(call.Started))
 }
 
