--- a/internal/relayer/admin.go
+++ b/internal/relayer/admin.go
@@ -6,6 +6,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/hintreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 )
 
 // Status is what a node tells of itself and of the members.
@@ -38,13 +39,6 @@
 	return status
 }
 
-func (n *Node) documentVersion() uint64 {
-	if value := n.register.Local(); value != nil {
-		return value.Version
-	}
-	return 0
-}
-
 // reporter implements administrator.Reporter.
 type reporter struct {
 	node *Node
@@ -69,3 +63,10 @@
 func (r reporter) WriteMetrics(w io.Writer) {
 	r.node.meter.Write(w)
 }
+
+func (n *Node) registerGauges() {
+	n.meter.Gauge("document_version", func() float64 { return float64(n.documentVersion()) })
+	n.meter.Gauge("register_revision", func() float64 { return float64(n.revision()) })
+	n.meter.Gauge("live_members", func() float64 { return float64(len(n.liveMembers()) + 1) })
+	n.meter.Gauge("log_lines_lost", func() float64 { return float64(logger.LostLines()) })
+}
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -37,7 +37,6 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/recorder"
 	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
-	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/router"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
@@ -107,45 +106,6 @@
 	tracker   *conntracker.Tracker
 }
 
-// inForce is the document that the node follows.
-type inForce struct {
-	// document is nil where the register holds none yet.
-	document *validator.Document
-	// value is the register's value, or nil for the document that the settings name.
-	value *replicator.Value
-}
-
-// Interpreter reads and writes what callers and upstreams say in headers.
-type Interpreter interface {
-	FormatRetryAfter(d time.Duration) string
-	ReadAnswer(header *fasthttp.ResponseHeader) interpreter.Answer
-	ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error)
-	WriteHop(header *fasthttp.RequestHeader, hop interpreter.Hop)
-}
-
-// WithInterpreter replaces the project's own headers by those of a platform.
-func WithInterpreter(i Interpreter) Option {
-	return func(n *Node) { n.interpreter = i }
-}
-
-// WithParser replaces the parser of the document's text.
-func WithParser(parse func(text []byte) (*validator.Document, error)) Option {
-	return func(n *Node) { n.parse = parse }
-}
-
-// WithPolicy replaces the policy by which targets are picked.
-func WithPolicy(policy router.Policy) Option {
-	return func(n *Node) { n.policy = policy }
-}
-
-// Option changes a Node under construction.
-type Option func(*Node)
-
-// WithForwarder passes options on to the connections to other nodes.
-func WithForwarder(options ...forwarder.Option) Option {
-	return func(n *Node) { n.peerOptions = append(n.peerOptions, options...) }
-}
-
 // New builds a node. Start runs it.
 func New(settings *settingsreader.Settings, secrets *settingsreader.Secrets, logs log.Logger, options ...Option) (*Node, error) {
 	n := &Node{
@@ -197,10 +157,7 @@
 		}
 	})
 	n.handleMessages()
-	n.meter.Gauge("document_version", func() float64 { return float64(n.documentVersion()) })
-	n.meter.Gauge("register_revision", func() float64 { return float64(n.revision()) })
-	n.meter.Gauge("live_members", func() float64 { return float64(len(n.liveMembers()) + 1) })
-	n.meter.Gauge("log_lines_lost", func() float64 { return float64(logger.LostLines()) })
+	n.registerGauges()
 	asserter.Observe(func(name, detail string) {
 		n.log.Error("An invariant failed.", "invariant", name, "detail", detail)
 	})
@@ -300,35 +257,6 @@
 	return s.gossiper.Member(name)
 }
 
-func (n *Node) retryRatio(neighbour string) float64 {
-	current := n.current()
-	if current == nil {
-		return 0
-	}
-	for _, one := range current.Neighbours {
-		if one.Name == neighbour {
-			return one.RetryRatio
-		}
-	}
-	return 0
-}
-
-const (
-	// ownRetryBurst is how many retries a node saves where the document sets no slack.
-	ownRetryBurst = 10
-	// slackPart is the part of the deployment's slack that the nodes share out among themselves.
-	slackPart = 0.6
-)
-
-// retryBurst returns how many retries the node may save up: its part of the deployment's slack.
-func (n *Node) retryBurst() float64 {
-	current := n.current()
-	if current == nil || current.Budgets.RetrySlack == 0 {
-		return ownRetryBurst
-	}
-	return max(1, slackPart*current.Budgets.RetrySlack/float64(max(1, n.router.Size())))
-}
-
 // service returns the service on this VM, or the empty string.
 func (n *Node) service() string {
 	if announced := n.registrar.Current().Service; announced != "" {
@@ -350,52 +278,6 @@
 	return ok && m.Status < gossiper.StatusDead && fmt.Sprintf("%x", m.Incarnation) == incarnation
 }
 
-// Preset puts a document in force until the register has one.
-func (n *Node) Preset(document *validator.Document) {
-	n.apply(document, nil)
-}
-
-// apply puts a document in force unless a newer one is. The document is nil where the value holds none.
-func (n *Node) apply(document *validator.Document, value *replicator.Value) bool {
-	n.applying.Lock()
-	defer n.applying.Unlock()
-	old := n.document.Load()
-	if old != nil && (value == nil || value.Revision <= n.revision()) {
-		return false
-	}
-	if document == nil && old != nil {
-		document = old.document
-	}
-	n.document.Store(&inForce{document: document, value: value})
-	if document != nil && (old == nil || old.document != document) {
-		n.configure(document)
-	}
-	if value != nil {
-		n.gossiper.SetVersion(value.Revision)
-		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
-			"replicas", len(value.Replicas))
-	}
-	return true
-}
-
-// configure makes the parts follow a document.
-func (n *Node) configure(document *validator.Document) {
-	n.executor.Configure(document)
-	n.dispatcher.Configure(document)
-	rate := float64(document.Budgets.ControlBytesPerSecond)
-	n.gossipBytes.SetRate(gossipPart * rate)
-	n.bindingBytes.SetRate(bindingPart * rate)
-	n.membershipBytes.SetRate(membershipPart * rate)
-}
-
-// current returns the document in force, or nil.
-func (n *Node) current() *validator.Document {
-	if current := n.document.Load(); current != nil {
-		return current.document
-	}
-	return nil
-}
-
 // announced follows the upstream beside the node.
 func (n *Node) announced(a announcer.Announcement) {
 	n.log.Info("The upstream changed.", "service", a.Service, "state", a.State, "slots", a.Slots, "address", a.Address)
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -28,7 +28,7 @@
 	largestHeader         = 1 << 20
 	minTokenBytes         = 16
 	mostGCPercent         = 1000
-	mostLosses            = 3
+	mostLosses            = 10
 	smallestHeader        = 1 << 10
 )
 
