--- a/internal/executor/harness_test.go
+++ b/internal/executor/harness_test.go
@@ -139,21 +139,24 @@
 	return nil
 }
 
-// call runs one request at the member and returns its outcome.
-func (m *member) call(id, rank, neighbour string, deadline time.Time) carrier.Outcome {
+// execution returns the next idempotent attempt for the member.
+func (m *member) execution(id string, deadline time.Time) *Execution {
 	req := &fasthttp.Request{}
 	req.SetRequestURI("/" + id)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	m.group.mu.Lock()
 	m.sequence++
-	a := carrier.Attempt{
-		Call: id, Service: testService, Rank: rank, Neighbour: neighbour, Idempotent: true,
-		Sender: "entry", Sequence: m.sequence,
-	}
+	a := carrier.Attempt{Call: id, Service: testService, Idempotent: true, Sender: "entry", Sequence: m.sequence}
 	m.group.mu.Unlock()
-	resp := &fasthttp.Response{}
-	outcome := m.Execute(context.Background(), &Execution{Attempt: a, Deadline: deadline, Request: req, Response: resp})
-	if outcome.Refusal == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+	return &Execution{Attempt: a, Deadline: deadline, Request: req, Response: &fasthttp.Response{}}
+}
+
+// call runs one request at the member and returns its outcome.
+func (m *member) call(id, rank, neighbour string, deadline time.Time) carrier.Outcome {
+	x := m.execution(id, deadline)
+	x.Attempt.Rank, x.Attempt.Neighbour = rank, neighbour
+	outcome := m.Execute(context.Background(), x)
+	if outcome.Refusal == nil && x.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
 		outcome.Refusal = refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream failed")
 	}
 	return outcome
--- a/internal/executor/slow_test.go
+++ b/internal/executor/slow_test.go
@@ -6,8 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
@@ -16,19 +14,10 @@
 
 // offer sends one attempt to the member.
 func (m *member) offer(id string, change func(a *carrier.Attempt)) carrier.Outcome {
-	req := &fasthttp.Request{}
-	req.SetRequestURI("/" + id)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	m.group.mu.Lock()
-	m.sequence++
-	a := carrier.Attempt{
-		Call: id, Idempotent: true, Rank: "urgent", Sender: "entry.1", Sequence: m.sequence, Service: testService,
-	}
-	m.group.mu.Unlock()
-	change(&a)
-	return m.Execute(context.Background(), &Execution{
-		Attempt: a, Deadline: time.Now().Add(time.Second), Request: req, Response: &fasthttp.Response{},
-	})
+	x := m.execution(id, time.Now().Add(time.Second))
+	x.Attempt.Rank = "urgent"
+	change(&x.Attempt)
+	return m.Execute(context.Background(), x)
 }
 
 func reasonOf(outcome carrier.Outcome) refuser.Reason {
