Hand the document back with the leader's answer to a change

Cause, from its lines: the node had forwarded the change, and the killed leader's push had not come, so that it asked the old set of replicas. Now the answer carries what is in force. Ruled out: the new disk (n1 answered).

--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -58,6 +58,8 @@
 // changeReply is the leader's answer to a change. Conflict and IsBelow tell why it is refused.
 type changeReply struct {
 	Conflict *replicator.ConflictError `json:"conflict,omitempty"`
+	// Document is what is in force after the change: the leader may die before it has pushed it.
+	Document *pulled `json:"document,omitempty"`
 	IsBelow  bool                      `json:"is-below,omitempty"`
 	Version  uint64                    `json:"version,omitempty"`
 }
@@ -91,6 +93,11 @@
 		r.passOver(leader.Name)
 		return changeReply{}, false
 	}
+	if reply.Document != nil {
+		if err := r.node.take(reply.Document); err != nil {
+			r.node.log.Error("The document that the leader has made can't be followed.", "error", err)
+		}
+	}
 	return reply, true
 }
 
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -153,7 +153,12 @@
 	})
 	handle(m, methodChange, func(ctx context.Context, p replicator.Change) (changeReply, error) {
 		version, err := r.apply(ctx, &p)
-		return replyOf(version, err)
+		reply, err := replyOf(version, err)
+		if local := r.Local(); err == nil && local != nil {
+			document := pack(local)
+			reply.Document = &document
+		}
+		return reply, err
 	})
 	handle(m, methodPush, func(_ context.Context, p pulled) (empty, error) {
 		return empty{}, r.node.take(&p)
