--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -60,8 +60,8 @@
 	Conflict *replicator.ConflictError `json:"conflict,omitempty"`
 	// Document is what is in force after the change: the leader may die before it has pushed it.
 	Document *pulled `json:"document,omitempty"`
-	IsBelow  bool                      `json:"is-below,omitempty"`
-	Version  uint64                    `json:"version,omitempty"`
+	IsBelow  bool    `json:"is-below,omitempty"`
+	Version  uint64  `json:"version,omitempty"`
 }
 
 // replyOf returns the answer for the outcome of a change. An outcome that is not known stays an error.
