One judgement of slow upstreams for both ends

The executor and the router each held the slowdown from which an upstream counts as slow; entries and nodes must agree on it. Behaviour as before.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -104,6 +104,15 @@
 	Slots   int           `json:"slots"`
 }
 
+// slowFactor is the slowdown from which an upstream counts as slow; one that has just started is about
+// twice as slow for longer than a request can wait.
+const slowFactor = 3.0
+
+// IsSlow reports whether work at the upstream takes much longer than usual.
+func (l Load) IsSlow() bool {
+	return l.Slowdown >= slowFactor
+}
+
 func bodySum(req *fasthttp.Request) []byte {
 	sum := xxhash.Sum64(req.Body())
 	return strconv.AppendUint(nil, sum, 16)
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 )
 
 const (
 	// loadTime is how long a report of the upstream's load is of use.
 	loadTime = 150 * time.Millisecond
-	// slowFactor is the slowdown from which an upstream counts as slow; one that has just started is
-	// about twice as slow for longer than a request can wait.
-	slowFactor = 3.0
 	// slowPause is how much longer a request at an upstream that has turned slow takes on average.
 	slowPause = 200 * time.Millisecond
 )
@@ -55,5 +53,5 @@
 }
 
 func (e *Executor) isSlow() bool {
-	return e.load.slowdown >= slowFactor && e.Clock.Now().Sub(e.load.at) < loadTime
+	return carrier.Load{Slowdown: e.load.slowdown}.IsSlow() && e.Clock.Now().Sub(e.load.at) < loadTime
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,8 +21,6 @@
 	maxReportAge = time.Minute
 	minRest      = 500 * time.Millisecond
 	minWeight    = 0.02
-	// slowFactor is the slowdown from which an upstream counts as slow.
-	slowFactor = 3.0
 	// slowTime is for how long a target's word that it is slow is believed.
 	slowTime = 400 * time.Millisecond
 	// suspectTime is for how long a target whose answer is overdue is passed over.
@@ -328,7 +326,7 @@
 	if load.Slowdown > 0 {
 		t.slowUntil = time.Time{}
 	}
-	if load.Slowdown >= slowFactor {
+	if load.IsSlow() {
 		t.slowUntil = now.Add(slowTime)
 	}
 }
