--- a/internal/relayer/cancel_test.go
+++ b/internal/relayer/cancel_test.go
@@ -76,3 +76,48 @@
 		t.Error("the upstream's connection was not closed")
 	}
 }
+
+// TestCallerGoesAwayFromQueue closes the caller's connection while its request waits for a slot at another
+// node. The request leaves that queue and never runs.
+func TestCallerGoesAwayFromQueue(t *testing.T) {
+	r := newRig(t, 0, responder.Behaviour{})
+	target := addStation(t, r.Deployment, demonstrator.Place{DataCentre: "flacq", Name: "target"})
+	began, _ := hangingUpstream(t, target.Settings.AnnounceAddress)
+	awaitServing(t, r.Deployment, 1)
+	ask := func() net.Conn {
+		conn, err := net.Dial("tcp", r.entry.Settings.CallerAddress.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := conn.Write([]byte("GET /entries HTTP/1.1\r\nHost: test\r\nRequest-Timeout: 60\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	queued := func() int { return target.Node.Status().Executor.Load.Queued }
+	awaitQueued := func(count int) {
+		t.Helper()
+		for deadline := time.Now().Add(30 * time.Second); queued() != count; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d requests wait at the target, want %d", queued(), count)
+			}
+		}
+	}
+	ask()
+	<-began
+	// The target begins with fewer slots than its upstream has.
+	for target.Node.Status().Executor.Load.Running < target.Node.Status().Executor.Limit {
+		ask()
+		<-began
+	}
+	waiting := ask()
+	awaitQueued(1)
+	if err := waiting.Close(); err != nil {
+		t.Fatal(err)
+	}
+	awaitQueued(0)
+	if len(began) > 0 {
+		t.Error("the request of a caller that went away has run")
+	}
+}
