Leave slots free where an upstream gets more done with fewer requests at once

Cause: instances of the second deployment work 1.7 times as long on everything while more than four fifths of their slots are in use. Their reported slowdown tells only of the VM. So a burst that filled all slots cost a quarter of the capacity just when it was short. Change: the limiter of an upstream that reports its load learns, for each rank, how long requests take by the part of the slots in use, and takes the number of slots at which most gets done. The rank that suffers least is believed, since calls to other services stretch a request as well. The slots above are tried again after 20 s.

--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -10,6 +10,8 @@
 const (
 	// loadTime is how long a report of the upstream's load is of use.
 	loadTime = 150 * time.Millisecond
+	// steadySlowdown is where an upstream begins to count as slower than usual.
+	steadySlowdown = 1.2
 	// slowPause is how much longer a request at an upstream that has turned slow takes on average.
 	slowPause = 200 * time.Millisecond
 )
@@ -55,3 +57,10 @@
 func (e *Executor) isSlow() bool {
 	return carrier.Load{Slowdown: e.load.slowdown}.IsSlow() && e.Clock.Now().Sub(e.load.at) < loadTime
 }
+
+// isSteady reports whether the upstream has told of late that its VM runs at its usual speed.
+func (e *Executor) isSteady() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.slowdown > 0 && e.load.slowdown < steadySlowdown && e.Clock.Now().Sub(e.load.at) < loadTime
+}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -26,6 +26,7 @@
 
 // run sends the attempt to the upstream in the slot that w holds.
 func (e *Executor) run(ctx context.Context, x *Execution, w *scheduler.Waiter) carrier.Outcome {
+	steady := e.isSteady()
 	instance, running, alone := e.enter(x)
 	for tries := 0; !alone && tries < apartTries; tries++ {
 		timekeeper.Sleep(ctx, e.Clock, apartPause)
@@ -59,7 +60,10 @@
 	if err == nil {
 		e.exonerate(x)
 	}
-	e.leave(x, w, used, e.resultOf(x.Response, err), running)
+	e.leave(x, w, limiter.Sample{
+		Class: x.Attempt.Rank, Latency: used, Result: e.resultOf(x.Response, err), Running: running,
+		Steady: err == nil && steady && e.isSteady(),
+	})
 	return outcome
 }
 
@@ -100,13 +104,13 @@
 }
 
 // leave frees the slot and teaches the limit.
-func (e *Executor) leave(x *Execution, w *scheduler.Waiter, used time.Duration, result limiter.Result, running int) {
+func (e *Executor) leave(x *Execution, w *scheduler.Waiter, sample limiter.Sample) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	delete(e.inFlight, x)
-	e.limit.Observe(now, used, result, running)
-	e.schedule.Done(now, w, used)
+	e.limit.Observe(now, sample)
+	e.schedule.Done(now, w, sample.Latency)
 	e.applyLimit()
 	e.tell()
 }
--- /dev/null
+++ b/internal/limiter/crowding.go
@@ -0,0 +1,133 @@
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// calmPart is the part of the slots up to which an upstream works at its usual speed.
+	calmPart = 0.5
+	// crowdedLevels divide the slots above calmPart.
+	crowdedLevels = 5
+	// crowdingGain is by how much more an upstream must get done with fewer slots in use.
+	crowdingGain = 1.1
+	// crowdingTime is how long a lower limit is kept before the slots above it are tried again.
+	crowdingTime = 20 * time.Second
+	minSamples   = 16
+	// meanSamples bounds how many samples a mean weighs.
+	meanSamples = 64
+)
+
+// average is a mean in which old samples fade.
+type average struct {
+	samples int
+	value   float64
+}
+
+func (a *average) observe(value float64) {
+	a.samples = min(a.samples+1, meanSamples)
+	a.value += (value - a.value) / float64(a.samples)
+}
+
+func (a *average) isKnown() bool {
+	return a.samples >= minSamples
+}
+
+// crowdedClass holds the times of one class of requests, in seconds: with few slots in use and at each
+// level above.
+type crowdedClass struct {
+	calm   average
+	levels [crowdedLevels]average
+}
+
+// crowding learns how much longer requests take at an upstream when many of its slots are in use. It
+// compares requests of one class with each other and believes the class that suffers least: the time that
+// a request spends on calls to other services is no sign of crowding here.
+type crowding struct {
+	classes map[string]*crowdedClass
+	// lowered is when the limit was last found to be below the slots.
+	lowered time.Time
+}
+
+// observe learns from a request that took the given time while part of the slots, itself included, were in
+// use at its start.
+func (c *crowding) observe(class string, taken time.Duration, part float64) {
+	if c.classes == nil {
+		c.classes = make(map[string]*crowdedClass)
+	}
+	known, ok := c.classes[class]
+	if !ok {
+		known = &crowdedClass{}
+		c.classes[class] = known
+	}
+	if part <= calmPart {
+		known.calm.observe(taken.Seconds())
+		return
+	}
+	known.levels[levelOf(part)].observe(taken.Seconds())
+}
+
+func levelOf(part float64) int {
+	level := int(math.Ceil((part-calmPart)/(1-calmPart)*crowdedLevels)) - 1
+	return min(max(0, level), crowdedLevels-1)
+}
+
+// slotsAt returns how many of the slots are in use at the top of a level.
+func slotsAt(level, slots int) int {
+	part := calmPart + (1-calmPart)*float64(level+1)/crowdedLevels
+	// The sum of parts can fall short of a whole number by a rounding error.
+	return int(part*float64(slots) + 1e-9)
+}
+
+// stretch returns how much longer requests take at a level than with few slots in use. It reports false
+// while one of the classes is not known there.
+func (c *crowding) stretch(level int) (float64, bool) {
+	least, found := 0.0, false
+	for _, class := range c.classes {
+		if !class.calm.isKnown() {
+			continue
+		}
+		if !class.levels[level].isKnown() {
+			return 0, false
+		}
+		if one := class.levels[level].value / class.calm.value; !found || one < least {
+			least, found = one, true
+		}
+	}
+	return max(1, least), found
+}
+
+// limit returns how many slots are best used.
+func (c *crowding) limit(now time.Time, slots int) int {
+	if !c.lowered.IsZero() && now.Sub(c.lowered) > crowdingTime {
+		c.forget()
+	}
+	full, ok := c.stretch(crowdedLevels - 1)
+	if !ok {
+		return slots
+	}
+	best, rate := slots, crowdingGain*float64(slots)/full
+	stretch := 1.0
+	for level := range crowdedLevels - 1 {
+		if known, ok := c.stretch(level); ok {
+			stretch = known
+		}
+		used := slotsAt(level, slots)
+		if one := float64(used) / stretch; one > rate {
+			best, rate = used, one
+		}
+	}
+	if best < slots && c.lowered.IsZero() {
+		c.lowered = now
+	}
+	return max(1, best)
+}
+
+// forget makes the upper levels unknown, so that they are tried again.
+func (c *crowding) forget() {
+	c.lowered = time.Time{}
+	for _, class := range c.classes {
+		class.levels = [crowdedLevels]average{}
+	}
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -39,6 +39,7 @@
 // it while the limit is used (additive increase, multiplicative decrease; Chiu and Jain, 1989).
 type Limiter struct {
 	baseline    float64
+	crowding    crowding
 	failureRate float64
 	lastCut     time.Time
 	limit       float64
@@ -59,7 +60,7 @@
 // Restart begins the slow start of an upstream that is new. One that reports its load needs none.
 func (l *Limiter) Restart() {
 	if l.reported {
-		*l = Limiter{limit: math.Max(minLimit, float64(l.slots)), reported: true, slots: l.slots}
+		*l = Limiter{crowding: l.crowding, limit: math.Max(minLimit, float64(l.slots)), reported: true, slots: l.slots}
 		return
 	}
 	*l = Limiter{
@@ -71,7 +72,8 @@
 
 // SetSlots changes the announced number of slots, which bounds the limit.
 func (l *Limiter) SetSlots(slots int) {
-	if l.reported {
+	if l.reported && slots != l.slots {
+		l.crowding = crowding{}
 		l.limit = math.Max(minLimit, float64(slots))
 	}
 	l.slots = slots
@@ -80,7 +82,7 @@
 
 // Reported tells the limiter that the upstream reports its load. Then slow answers and failures are no
 // reason for a lower limit: an upstream that has no room says so, and fewer requests at once don't mend
-// another fault.
+// another fault. Only an upstream that gets more done with fewer requests at once is given fewer.
 func (l *Limiter) Reported() {
 	if l.reported {
 		return
@@ -106,26 +108,49 @@
 	return time.Duration(l.recent * float64(time.Second))
 }
 
-// Observe learns from a request that took latency while running requests ran at once.
-func (l *Limiter) Observe(now time.Time, latency time.Duration, result Result, running int) {
+// Sample is what one request tells of its upstream.
+type Sample struct {
+	// Class is the kind of request; requests of one class are expected to take alike.
+	Class string
+	// Latency is the time at the upstream.
+	Latency time.Duration
+	Result  Result
+	// Running is the number of requests that ran when this one began, itself included.
+	Running int
+	// Steady is true where the upstream has told that its VM ran at its usual speed.
+	Steady bool
+}
+
+// Observe learns from a request that has ended.
+func (l *Limiter) Observe(now time.Time, sample Sample) {
 	failed := 0.0
-	if result == ResultFailed {
+	if sample.Result == ResultFailed {
 		failed = 1
 	}
 	l.failureRate += failureSmoothing * (failed - l.failureRate)
 	if l.reported {
+		l.observeCrowding(now, sample)
 		return
 	}
-	if result == ResultFailed {
+	if sample.Result == ResultFailed {
 		l.cut(now, minLimit)
 		return
 	}
-	l.learn(latency.Seconds())
+	l.learn(sample.Latency.Seconds())
 	if l.samples >= windowSamples && l.recent > tolerance*l.baseline {
 		l.cut(now, latencyFloor*float64(l.slots))
 		return
 	}
-	l.raise(running)
+	l.raise(sample.Running)
+}
+
+// observeCrowding leaves slots free where the upstream gets more done so.
+func (l *Limiter) observeCrowding(now time.Time, sample Sample) {
+	if sample.Result == ResultFailed || !sample.Steady || l.slots == 0 {
+		return
+	}
+	l.crowding.observe(sample.Class, sample.Latency, float64(sample.Running)/float64(l.slots))
+	l.limit = float64(l.crowding.limit(now, l.slots))
 }
 
 func (l *Limiter) learn(seconds float64) {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -25,7 +25,7 @@
 		running := l.Limit()
 		latency := u.answer(running)
 		*now = now.Add(latency / time.Duration(running))
-		l.Observe(*now, latency, ResultAnswered, running)
+		l.Observe(*now, Sample{Latency: latency, Running: running})
 		limits = append(limits, l.Limit())
 	}
 	return limits
@@ -84,7 +84,7 @@
 	serve(l, u, &now, 500)
 	for range 200 {
 		now = now.Add(5 * time.Millisecond)
-		l.Observe(now, 100*time.Microsecond, ResultFailed, l.Limit())
+		l.Observe(now, Sample{Latency: 100 * time.Microsecond, Result: ResultFailed, Running: l.Limit()})
 	}
 	if l.Limit() != 1 || l.FailureRate() < 0.9 {
 		t.Errorf("a failing upstream gets %d requests at once, failure rate %.2f", l.Limit(), l.FailureRate())
