A round that was outbid doesn't wait for frozen replicas

Replayed with logs: the leader froze in the middle of a round at 2.5 s; a second node gave it 400 ms and made the round itself, two replicas had promised a higher ballot to a third node, and the ballot then waited for the frozen replica until the operator's 900 ms were over. The same for the next node. Change: a phase ends when no majority can be had, and 50 ms after the first replica that has refused it.

--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -49,9 +49,12 @@
 }
 
 const (
-	backoff      = 10 * time.Millisecond
-	maxBackoff   = 200 * time.Millisecond
-	messageTime  = 1500 * time.Millisecond
+	backoff     = 10 * time.Millisecond
+	maxBackoff  = 200 * time.Millisecond
+	messageTime = 1500 * time.Millisecond
+	// outbidTime is how long a round that one replica has refused waits for the others: those that are
+	// frozen or cut off should not hold up the next ballot.
+	outbidTime   = 50 * time.Millisecond
 	roundTime    = 5 * time.Second
 	maxConfigHop = 8
 )
@@ -332,6 +335,8 @@
 	}
 	held := p.held()
 	votes := &tally[PrepareReply]{replies: replies}
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
 	ask(ctx, missing, func(ctx context.Context, replica Replica) (PrepareReply, error) {
 		request := PrepareRequest{Ballot: ballot, DiskID: replica.DiskID, Known: held.Ballot}
 		reply, err := p.transport.Prepare(ctx, replica.VM, request)
@@ -341,8 +346,10 @@
 		return reply, err
 	}, func(replica Replica, reply PrepareReply, err error) bool {
 		p.outbid(reply.Promised)
-		votes.take(replica, reply, reply.OK, err)
-		return haveMajorities(sets, replies)
+		if votes.take(replica, reply, reply.OK, err) {
+			p.clock.AfterFunc(outbidTime, giveUp)
+		}
+		return haveMajorities(sets, replies) || votes.isLost(sets, nil)
 	})
 	if haveMajorities(sets, replies) {
 		return nil
@@ -356,12 +363,16 @@
 	enough := func() bool {
 		return votes.hasAll(all) && haveMajorities(sets, votes.replies)
 	}
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
 	ask(ctx, union(append(sets, all)), func(ctx context.Context, replica Replica) (AcceptReply, error) {
 		return p.transport.Accept(ctx, replica.VM, AcceptRequest{Ballot: ballot, DiskID: replica.DiskID, Value: value})
 	}, func(replica Replica, reply AcceptReply, err error) bool {
 		p.outbid(reply.Promised)
-		votes.take(replica, reply, reply.OK, err)
-		return enough()
+		if votes.take(replica, reply, reply.OK, err) {
+			p.clock.AfterFunc(outbidTime, giveUp)
+		}
+		return enough() || votes.isLost(sets, all)
 	})
 	if enough() {
 		return nil
--- a/internal/replicator/trouble_test.go
+++ b/internal/replicator/trouble_test.go
@@ -96,3 +96,45 @@
 		}
 	}
 }
+
+// silent is a transport that never gets an answer from one replica.
+type silent struct {
+	Transport
+	vm string
+}
+
+// Prepare implements Transport.
+func (s silent) Prepare(ctx context.Context, vm string, request PrepareRequest) (PrepareReply, error) {
+	if vm == s.vm {
+		<-ctx.Done()
+		return PrepareReply{}, ctx.Err()
+	}
+	return s.Transport.Prepare(ctx, vm, request)
+}
+
+// TestOutbidBesideFrozenReplica makes a change while one replica of five is frozen and two have promised a
+// higher ballot. The round that can't win any more must not wait for the frozen one before it is made again.
+func TestOutbidBesideFrozenReplica(t *testing.T) {
+	const operatorTime = 900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		d := newDisks(t, "a", "b", "c", "d", "e")
+		replicas := d.bootstrap("a", "b", "c", "d", "e")
+		rival := Ballot{Number: 100, Proposer: "rival"}
+		for _, replica := range replicas[:2] {
+			if _, err := d.Prepare(t.Context(), replica.VM, PrepareRequest{Ballot: rival, DiskID: replica.DiskID}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p := NewProposer(d.proposer("x", nil).clock, "p", silent{Transport: d, vm: "e"})
+		p.Follow(replicas)
+		ctx, cancel := context.WithTimeout(t.Context(), operatorTime)
+		defer cancel()
+		started := time.Now()
+		_, version, err := p.Apply(ctx, change("c1", 1, replicas))
+		t.Logf("made after %s", time.Since(started))
+		if err != nil || version != 2 {
+			t.Errorf("version %d, %v", version, err)
+		}
+		time.Sleep(2 * messageTime)
+	})
+}
