--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -57,7 +57,7 @@
 	inRank := min(rank.backlog.Seconds(), own.backlog.Seconds()/fair)
 	seconds := (before + inRank + s.mean) / slots
 	if rank.rate > 0 {
-		return time.Duration((inRank + s.mean) / rank.rate * float64(time.Second))
+		return time.Duration((inRank + s.cost(class).Seconds()) / rank.rate * float64(time.Second))
 	}
 	if share := s.rankConfig(class.Rank).GuaranteedShare; share > 0 {
 		seconds = min(seconds, (inRank+s.mean)/(slots*share))
--- a/internal/scheduler/shares_test.go
+++ b/internal/scheduler/shares_test.go
@@ -154,3 +154,24 @@
 		}
 	}
 }
+
+// TestCallsBelowAFlood floods one upstream with long requests of the lower rank while other upstreams make
+// short calls that can't come back later. Those calls decide whether their parents count.
+func TestCallsBelowAFlood(t *testing.T) {
+	const slots, want = 9, 0.95
+	calls := source{
+		class: Class{Rank: 0, Neighbour: "positions"}, mean: 30 * time.Millisecond, perSecond: 40,
+		deadline: 200 * time.Millisecond, useful: 150 * time.Millisecond,
+	}
+	flood := source{
+		class: Class{Rank: 1, Neighbour: "positions"}, mean: 300 * time.Millisecond, perSecond: 60,
+		deadline: 1500 * time.Millisecond, useful: 500 * time.Millisecond,
+	}
+	config := Config{Ranks: []Rank{{TargetWait: 40 * time.Millisecond}, {TargetWait: 400 * time.Millisecond}}}
+	got := simulate(t, config, slots, seed, time.Second, 20*time.Second, []source{calls, flood})
+	served := float64(got[0].answered) / float64(got[0].answered+got[0].refused)
+	t.Logf("%.3f of the calls served, %d of the flood served, %d refused", served, got[1].answered, got[1].refused)
+	if served < want {
+		t.Errorf("%.3f of the calls are served, want %.2f", served, want)
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -16,6 +16,9 @@
 	// perSecond is the rate of arrivals; from and until bound them in time.
 	perSecond   float64
 	from, until time.Duration
+	// deadline is that of each request; zero stands for a long one. useful is the wait after which its
+	// answer would come too late; zero where that does not matter.
+	deadline, useful time.Duration
 }
 
 // outcome is what one source got.
@@ -51,7 +54,6 @@
 // simulation runs a scheduler in virtual time with one upstream.
 type simulation struct {
 	begin    time.Time
-	deadline time.Duration
 	events   events
 	length   time.Duration
 	measured time.Duration
@@ -66,7 +68,7 @@
 	t.Helper()
 	begin := time.Unix(0, 0)
 	sim := &simulation{
-		begin: begin, now: begin, deadline: 10 * time.Second, length: length, measured: warm,
+		begin: begin, now: begin, length: length, measured: warm,
 		outcomes: make([]outcome, len(sources)), queued: make(map[*Waiter]func(Verdict)),
 		random: rand.New(rand.NewPCG(seed, 2)), s: New(slots, config),
 	}
@@ -100,7 +102,7 @@
 	taken := time.Duration(sim.random.ExpFloat64() * float64(one.mean))
 	sim.at(at, func() {
 		sim.arrive(i, one, at)
-		w := NewWaiter(sim.now, one.class, sim.now.Add(sim.deadline))
+		w := one.waiter(sim.now)
 		queued, refusal := sim.s.Submit(sim.now, w)
 		switch {
 		case refusal != nil:
@@ -113,6 +115,19 @@
 	})
 }
 
+// waiter returns a request that arrives now.
+func (s *source) waiter(now time.Time) *Waiter {
+	deadline := s.deadline
+	if deadline == 0 {
+		deadline = 10 * time.Second
+	}
+	w := NewWaiter(now, s.class, now.Add(deadline))
+	if s.useful > 0 {
+		w.Useful = now.Add(s.useful)
+	}
+	return w
+}
+
 func (sim *simulation) run(i int, w *Waiter, taken time.Duration, v Verdict) {
 	o := &sim.outcomes[i]
 	if v.Refusal != nil {
