Offer a call that an upstream makes to the next queue where one is full

Cause: a refusal for want of room is the service's judgement and ended the call. For a call below a running request that is 200 ms away from its deadline no later offer exists, and its parent fails with it. Change: a call whose caller can't come back is offered to up to three queues; none of these is an arrival. Test: TestFullQueuesAreTriedForCallsBelow.

--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -26,6 +26,8 @@
 	Load    float64
 	LoadAge time.Duration
 	Slow    bool
+	// Refusals is the number of nodes that had no room in their queue.
+	Refusals int
 	// Runs is the number of tries that an upstream may have run.
 	Runs int
 	// Target is the node of the last try.
@@ -56,7 +58,7 @@
 		j.Load, j.LoadAge, j.Slow = choice.Load, choice.LoadAge, choice.Slow
 		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
 		j.count(&outcome)
-		reason, again := d.again(call, &outcome, resp)
+		reason, again := d.again(call, j, &outcome, resp)
 		if !again || !d.mayRetry(call, j, &outcome) {
 			break
 		}
@@ -113,6 +115,12 @@
 // minUseful tells a node that the answer will be late in any case.
 const minUseful = time.Millisecond
 
+// canComeBack reports whether the caller of a refused call would have the time to be served later. An
+// upstream that calls another has not.
+func (d *Dispatcher) canComeBack(call *Call) bool {
+	return call.Until.Sub(d.Clock.Now()) >= minRetryAfter+call.Target
+}
+
 // useful returns how long the call may wait for its start to be answered in time, or zero. A caller that
 // has no time to come back is better served late than refused.
 func (d *Dispatcher) useful(call *Call) time.Duration {
@@ -121,7 +129,8 @@
 	}
 	usual := d.latencies.of(call).usual.Value()
 	now := d.Clock.Now()
-	if left := call.Until.Sub(now); left < minRetryAfter+call.Target {
+	if !d.canComeBack(call) {
+		left := call.Until.Sub(now)
 		if usual == 0 {
 			usual = left / 4
 		}
@@ -140,6 +149,9 @@
 		j.HandBacks++
 		j.busy = append(j.busy, target)
 	case !isConnectionFault(outcome):
+		if outcome.Refusal != nil && outcome.Refusal.Reason == refuser.ReasonQueueFull {
+			j.Refusals++
+		}
 		j.failed = append(j.failed, target)
 	}
 }
@@ -222,13 +234,15 @@
 }
 
 // again reports whether a further try could help and is safe, and why.
-func (d *Dispatcher) again(call *Call, outcome *carrier.Outcome, resp *fasthttp.Response) (meter.RetryReason, bool) {
+func (d *Dispatcher) again(call *Call, j *Journey, outcome *carrier.Outcome, resp *fasthttp.Response) (meter.RetryReason, bool) {
 	refusal := outcome.Refusal
 	switch {
 	case refusal == nil:
 		return meter.RetryFailed, call.Idempotent && isErrorAnswer(resp)
 	case refusal.Reason == refuser.ReasonBusy:
 		return meter.RetryHandedBack, true
+	case refusal.Reason == refuser.ReasonQueueFull && j.Refusals < maxRefusals && !d.canComeBack(call):
+		return meter.RetryNotRun, true
 	case refusal.IsNotRun():
 		return meter.RetryNotRun, isLocalRefusal(refusal.Reason)
 	default:
@@ -237,7 +251,8 @@
 }
 
 // isLocalRefusal reports whether the reason holds for one node only. A refusal for want of room is
-// the judgement of the service's queues: another try would only add to the flood.
+// the judgement of the service's queues: another try would only add to the flood, unless the caller has
+// no other chance.
 func isLocalRefusal(reason refuser.Reason) bool {
 	switch reason {
 	case refuser.ReasonDraining, refuser.ReasonNoUpstream, refuser.ReasonQuarantined, refuser.ReasonShed,
--- a/internal/dispatcher/useful_test.go
+++ b/internal/dispatcher/useful_test.go
@@ -1,10 +1,15 @@
 package dispatcher
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
 
 // TestHowLongACallMayWait checks routes whose usual latency is known and not known, for callers that
@@ -36,3 +41,33 @@
 		}
 	}
 }
+
+// TestFullQueuesAreTriedForCallsBelow has two nodes refuse a call for want of room. A call that an upstream
+// makes is offered to the next one, since its parent runs; a caller that can come back is told to.
+func TestFullQueuesAreTriedForCallsBelow(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		tries    int
+		served   bool
+	}{
+		{"call below", 200 * time.Millisecond, 3, true},
+		{"can come back", 10 * time.Second, 1, false},
+	}
+	for _, test := range tests {
+		tries := 0
+		d := newChain(t, 1, func() carrier.Outcome {
+			if tries++; tries <= 2 {
+				return carrier.Outcome{Refusal: refuser.Later(refuser.ReasonQueueFull, time.Second, "full")}
+			}
+			return carrier.Outcome{}
+		})[0].Dispatcher
+		document := *d.table.Load().document
+		document.Routes[0].Deadline = validator.Duration(test.deadline)
+		d.Configure(&document)
+		refusal := d.Dispatch(context.Background(), newRequest(), &fasthttp.Response{})
+		if served := refusal == nil; served != test.served || tries != test.tries {
+			t.Errorf("%s: served %t after %d tries, want %t after %d", test.name, served, tries, test.served, test.tries)
+		}
+	}
+}
