Lines for refused retries, barred requests and rounds of the register; their rate is a setting

Ran: linters, tests of settings, quarantiner, dispatcher, platform and of the relayer Poison, Forms, Once.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -102,6 +102,9 @@
 	Interpreter Interpreter
 	Meter       *meter.Meter
 	Name        string
+	// NotRetried is told of each further try that is not made, with the target of the one before; nil tells
+	// nobody.
+	NotRetried func(call *Call, target string, reason meter.RetryRefusal)
 	// OpenContext returns the context that an upstream passed on.
 	OpenContext func(req *fasthttp.Request) (carrier.Context, bool)
 	Retries     *budgeter.Retries
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -208,7 +208,7 @@
 // runHedge makes the second try if the budget allows and a target takes it at once.
 func (d *Dispatcher) runHedge(h *hedge, reason meter.RetryReason) {
 	if !d.Retries.Spend(h.call.Neighbour) {
-		d.Meter.RetryRefused(meter.RetryRefusalBudget)
+		d.notRetried(h.call, h.target, meter.RetryRefusalBudget)
 		return
 	}
 	if !h.begin() {
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -266,21 +266,30 @@
 // mayRetry reports whether the call can have another try. One that reached no upstream costs nothing
 // of the budget.
 func (d *Dispatcher) mayRetry(call *Call, j *Journey, outcome *carrier.Outcome) bool {
+	var reason meter.RetryRefusal
 	switch {
 	case outcome.Spent:
-		d.Meter.RetryRefused(meter.RetryRefusalNested)
+		reason = meter.RetryRefusalNested
 	case j.Tries >= maxTries || j.Runs >= call.Attempts:
-		d.Meter.RetryRefused(meter.RetryRefusalTries)
+		reason = meter.RetryRefusalTries
 	case !d.Clock.Now().Before(call.Deadline):
-		d.Meter.RetryRefused(meter.RetryRefusalDeadline)
+		reason = meter.RetryRefusalDeadline
 	case outcome.Reached() && !d.Retries.Spend(call.Neighbour):
-		d.Meter.RetryRefused(meter.RetryRefusalBudget)
+		reason = meter.RetryRefusalBudget
 	default:
 		return true
 	}
+	d.notRetried(call, j.Target, reason)
 	return false
 }
 
+func (d *Dispatcher) notRetried(call *Call, target string, reason meter.RetryRefusal) {
+	d.Meter.RetryRefused(reason)
+	if d.NotRetried != nil {
+		d.NotRetried(call, target, reason)
+	}
+}
+
 func (d *Dispatcher) finish(call *Call, outcome *carrier.Outcome, resp *fasthttp.Response) {
 	failed := outcome.Refusal != nil || isErrorAnswer(resp)
 	if failed && call.Parent != "" {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -57,15 +57,17 @@
 // Quarantiner counts the crashes that each fingerprint was part of. It is safe for concurrent use.
 type Quarantiner struct {
 	clock timekeeper.Clock
+	onBar func(fingerprint Fingerprint, upstreams int, d time.Duration)
 	size  atomic.Int64
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
 }
 
-// New returns a quarantiner without suspects.
-func New(clock timekeeper.Clock) *Quarantiner {
-	return &Quarantiner{clock: clock, suspects: make(map[Fingerprint]*suspect)}
+// New returns a quarantiner without suspects. It tells onBar of each fingerprint that it bars, with the
+// number of crashed upstreams and how long it stays barred; nil tells nobody.
+func New(clock timekeeper.Clock, onBar func(fingerprint Fingerprint, upstreams int, d time.Duration)) *Quarantiner {
+	return &Quarantiner{clock: clock, onBar: onBar, suspects: make(map[Fingerprint]*suspect)}
 }
 
 // Report notes a crash and all requests that ran in it. A fingerprint that was part of the crashes
@@ -87,10 +89,14 @@
 		}
 		s.upstream[crash.Instance] = struct{}{}
 		s.expires = now.Add(suspectTime)
-		if len(s.upstream) >= convictions {
-			s.barred = true
-			s.expires = now.Add(barTime)
+		if len(s.upstream) < convictions {
+			continue
 		}
+		if !s.barred && q.onBar != nil {
+			q.onBar(fingerprint, len(s.upstream), barTime)
+		}
+		s.barred = true
+		s.expires = now.Add(barTime)
 	}
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -10,7 +10,7 @@
 
 func TestSecondCrashBarsForATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := New(timekeeper.System{})
+		q := New(timekeeper.System{}, nil)
 		q.Report(Crash{Fingerprints: []Fingerprint{1, 2}, Instance: "u1"})
 		q.Report(Crash{Fingerprints: []Fingerprint{1, 2}, Instance: "u1"})
 		if q.Barred(1) > 0 || !q.IsSuspect(1) {
--- a/internal/relayer/journal.go
+++ b/internal/relayer/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -11,15 +12,15 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
+	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 const (
-	// linesPerSecond bounds the lines on requests and on what changes often.
-	linesPerSecond = 150
-	// plainLinesPerSecond bounds those on what went as usual.
-	plainLinesPerSecond = 10
+	// plainPart is the part of the lines, 1 in so many, that may be on what went as usual.
+	plainPart = 15
 	// tracedPart is the part of the requests, 1 in so many, of which every node tells all.
 	tracedPart = 32
 )
@@ -28,6 +29,8 @@
 // first; requests are chosen by their id, so that all nodes tell of the same ones.
 type journal struct {
 	clock timekeeper.Clock
+	// lines bounds the lines of a second.
+	lines int
 	log   *logger.Part
 	meter *meter.Meter
 
@@ -37,8 +40,8 @@
 	total  int
 }
 
-func newJournal(clock timekeeper.Clock, log *logger.Part, m *meter.Meter) *journal {
-	return &journal{clock: clock, log: log, meter: m}
+func newJournal(clock timekeeper.Clock, lines int, log *logger.Part, m *meter.Meter) *journal {
+	return &journal{clock: clock, lines: lines, log: log, meter: m}
 }
 
 // allows reports whether another line may be written, and books it.
@@ -48,7 +51,7 @@
 	if second := j.clock.Now().Unix(); second != j.second {
 		j.second, j.plain, j.total = second, 0, 0
 	}
-	if j.total >= linesPerSecond || (plain && j.plain >= plainLinesPerSecond) {
+	if j.total >= j.lines || (plain && j.plain >= j.lines/plainPart) {
 		j.meter.Event("log_lines_left_out")
 		return false
 	}
@@ -111,6 +114,23 @@
 		"first", first, "second", second, "reason", reason, "took", n.clock.Now().Sub(call.Started))
 }
 
+// notRetried tells of a further try that a call did not get.
+func (n *Node) notRetried(call *dispatcher.Call, target string, reason meter.RetryRefusal) {
+	n.journal.write(!isTraced(call.Request), "A further try is refused.", "request", call.Request, "call", call.ID,
+		"target", target, "neighbour", call.Neighbour, "reason", reason, "took", n.clock.Now().Sub(call.Started))
+}
+
+// barred tells of a kind of request that is not run any more.
+func (n *Node) barred(fingerprint quarantiner.Fingerprint, upstreams int, d time.Duration) {
+	n.log.Warn("A request is barred: upstreams crashed while it ran.", "fingerprint", fingerprint, "upstreams", upstreams, "for", d)
+}
+
+// roundEnded tells of a round of the register that this node has made.
+func (n *Node) roundEnded(round replicator.Round) {
+	n.journal.write(round.Err == nil && round.Ballots == 1, "A round of the register has ended.", "ballots", round.Ballots,
+		"took", round.Took, "revision", round.Revision, "error", round.Err)
+}
+
 // isOrdinary reports whether the outcome is part of every day: an answer, a request that was handed back,
 // or the loser of two tries.
 func isOrdinary(outcome *carrier.Outcome) bool {
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -119,7 +119,7 @@
 		meter:     meter.New(),
 		tracker:   conntracker.New(),
 	}
-	n.journal = newJournal(n.clock, n.log, n.meter)
+	n.journal = newJournal(n.clock, n.settings.LogLines, n.log, n.meter)
 	n.interpreter = interpreter.Native{}
 	n.parse = validator.Parse
 	n.policy = router.Weighted{}
@@ -132,7 +132,7 @@
 	n.gossipBytes = budgeter.NewBytes(n.clock, gossipPart*defaultControlRate)
 	n.membershipBytes = budgeter.NewBytes(n.clock, membershipPart*defaultControlRate)
 	n.messenger = messenger.New(secrets.Key, spending{n})
-	n.quarantiner = quarantiner.New(n.clock)
+	n.quarantiner = quarantiner.New(n.clock, n.barred)
 	n.recorder = recorder.New(n.clock)
 	n.claims = claimer.NewTable(n.clock)
 	n.upstream = newLocalUpstream(n.clock, n.interpreter, func(load interpreter.Load) { n.executor.Report(load) },
@@ -233,6 +233,7 @@
 		FailedBelow: n.executor.FailedBelow,
 		Finished:    n.finished,
 		Hedged:      n.hedged,
+		NotRetried:  n.notRetried,
 		Interpreter: n.interpreter,
 		Meter:       n.meter,
 		Name:        sender,
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -61,6 +61,7 @@
 	r := &register{node: n}
 	// The wall clock can step back over a restart, so that the incarnation alone may not be new.
 	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
+	r.proposer.Tell(n.roundEnded)
 	n.register = r
 	if n.settings.DataFolder == "" {
 		return nil
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -72,6 +72,8 @@
 	name      string
 	transport Transport
 
+	// ended is told of each round; nil tells nobody.
+	ended func(Round)
 	// rounds lets one round go on at a time, since two would only outbid each other.
 	rounds chan struct{}
 
@@ -90,6 +92,20 @@
 	return &Proposer{clock: clock, name: name, rounds: make(chan struct{}, 1), transport: transport}
 }
 
+// Round is a finished round with the ballots that it took.
+type Round struct {
+	Ballots int
+	Err     error
+	// Revision is that of the value that was chosen, or zero.
+	Revision uint64
+	Took     time.Duration
+}
+
+// Tell sets who is told of each round. It is called before the first one.
+func (p *Proposer) Tell(ended func(Round)) {
+	p.ended = ended
+}
+
 // Follow tells the proposer of the replicas of a value that is in force.
 func (p *Proposer) Follow(replicas []Replica) {
 	p.mu.Lock()
@@ -201,8 +217,23 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: another round takes long: %w", ErrNoMajority, ctx.Err())
 	}
+	started, ballots := p.clock.Now(), 0
+	value, err := p.ballots(ctx, step, &ballots)
+	if p.ended != nil {
+		ended := Round{Ballots: ballots, Err: err, Took: p.clock.Now().Sub(started)}
+		if value != nil {
+			ended.Revision = value.Revision
+		}
+		p.ended(ended)
+	}
+	return value, err
+}
+
+// ballots makes ballots, and counts them, until one is not outbid.
+func (p *Proposer) ballots(ctx context.Context, step func(*Value) (*Value, error), count *int) (*Value, error) {
 	pause := backoff
 	for {
+		*count++
 		value, err := p.ballot(ctx, step)
 		if !errors.Is(err, errOutbid) {
 			return value, err
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -22,12 +22,14 @@
 const (
 	DefaultGCPercent      = 100
 	DefaultLogLevel       = "info"
+	DefaultLogLines       = 150
 	DefaultMaxBodyBytes   = 4 << 20
 	DefaultMaxHeaderBytes = 16 << 10
 	largestBody           = 64 << 20
 	largestHeader         = 1 << 20
 	minTokenBytes         = 16
 	mostGCPercent         = 1000
+	mostLogLines          = 100000
 	mostLosses            = 10
 	smallestHeader        = 1 << 10
 )
@@ -48,8 +50,10 @@
 	DataFolder     string         `json:"data-folder"`
 	DocumentFile   string         `json:"document-file"`
 	// GCPercent is how much the heap may grow between two collections, in percent of what is in use.
-	GCPercent      int              `json:"gc-percent"`
-	LogFormat      logger.Format    `json:"log-format"`
+	GCPercent int           `json:"gc-percent"`
+	LogFormat logger.Format `json:"log-format"`
+	// LogLines is how many lines a second are written on requests and on what changes often.
+	LogLines       int              `json:"log-lines-per-second"`
 	LogLevel       string           `json:"log-level"`
 	MaxBodyBytes   int              `json:"max-body-bytes"`
 	MaxHeaderBytes int              `json:"max-header-bytes"`
@@ -96,6 +100,7 @@
 		GCPercent:      DefaultGCPercent,
 		LogFormat:      logger.FormatLogfmt,
 		LogLevel:       DefaultLogLevel,
+		LogLines:       DefaultLogLines,
 		MaxBodyBytes:   DefaultMaxBodyBytes,
 		MaxHeaderBytes: DefaultMaxHeaderBytes,
 		UpstreamLease:  validator.Duration(registrar.LeaseTime),
@@ -149,6 +154,9 @@
 	if s.MaxHeaderBytes < smallestHeader || s.MaxHeaderBytes > largestHeader {
 		return fail("max-header-bytes", s.MaxHeaderBytes, fmt.Sprintf("want %d to %d", smallestHeader, largestHeader))
 	}
+	if s.LogLines < 1 || s.LogLines > mostLogLines {
+		return fail("log-lines-per-second", s.LogLines, fmt.Sprintf("want 1 to %d", mostLogLines))
+	}
 	if _, err := logger.New(os.Stderr, s.LogFormat, s.LogLevel); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
