How long a call may wait is told by its time at the upstream, not by its whole latency

Cause: in a flood the usual latency is made of waits. Likewise a caller's request counted as late before it began. Change: what is left of the target after the usual time at the upstream. Second tries still go by the whole latency. Ruled out: want of slots for the upper rank (queues of 2 to 16 of the lower rank, calls of 33 ms). Test: two cases of TestHowLongACallMayWait (without the change: 100 and 1 ms instead of 320 and 150).

--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -30,15 +30,19 @@
 	routes map[string]*latency
 }
 
-// latency estimates two quantiles of one route.
+// latency estimates quantiles of one route.
 type latency struct {
 	high  *quantiler.Estimate
 	usual *quantiler.Estimate
+	// work is the usual time at an upstream: what an answer takes where no queue is before it.
+	work *quantiler.Estimate
 }
 
-func (l *latency) observe(taken time.Duration) {
+// observe takes an answer's whole latency and the part of it at the upstream.
+func (l *latency) observe(taken, used time.Duration) {
 	l.high.Observe(taken)
 	l.usual.Observe(taken)
+	l.work.Observe(used)
 }
 
 func (l *latencies) of(call *Call) *latency {
@@ -50,7 +54,9 @@
 	}
 	estimate, ok := l.routes[key]
 	if !ok {
-		estimate = &latency{high: quantiler.New(hedgeQuantile), usual: quantiler.New(usualQuantile)}
+		estimate = &latency{
+			high: quantiler.New(hedgeQuantile), usual: quantiler.New(usualQuantile), work: quantiler.New(usualQuantile),
+		}
 		l.routes[key] = estimate
 	}
 	return estimate
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -107,9 +107,9 @@
 
 // need returns what the call asks of its target.
 func (d *Dispatcher) need(call *Call) router.Need {
-	usual := d.latencies.of(call).usual.Value()
-	left := call.Target - d.Clock.Now().Sub(call.Started) - usual
-	return router.Need{Relaxed: usual > 0 && left > slowSpan, Service: call.Service, Target: call.Target}
+	work := d.latencies.of(call).work.Value()
+	left := call.Target - d.Clock.Now().Sub(call.Started) - work
+	return router.Need{Relaxed: work > 0 && left > slowSpan, Service: call.Service, Target: call.Target}
 }
 
 // minUseful tells a node that the answer will be late in any case.
@@ -127,19 +127,20 @@
 	if call.Target == 0 {
 		return 0
 	}
-	usual := d.latencies.of(call).usual.Value()
+	// The whole latency would not do: in a flood it is made of waits, and all would be given up.
+	work := d.latencies.of(call).work.Value()
 	now := d.Clock.Now()
 	if !d.canComeBack(call) {
 		left := call.Until.Sub(now)
-		if usual == 0 {
-			usual = left / 4
+		if work == 0 {
+			work = left / 4
 		}
-		return max(minUseful, left-2*usual)
+		return max(minUseful, left-2*work)
 	}
-	if usual == 0 {
-		usual = call.Target / 2
+	if work == 0 {
+		work = call.Target / 2
 	}
-	return max(minUseful, call.Target-usual-now.Sub(call.Started))
+	return max(minUseful, call.Target-work-now.Sub(call.Started))
 }
 
 // note books a try that is followed by another.
@@ -298,7 +299,7 @@
 	if outcome.Refusal == nil {
 		total := d.Clock.Now().Sub(call.Started)
 		if !failed {
-			d.latencies.of(call).observe(total)
+			d.latencies.of(call).observe(total, outcome.Used)
 		}
 		d.Meter.Answered(call.Service, call.Rank, total, total-outcome.Used)
 	}
--- a/internal/dispatcher/useful_test.go
+++ b/internal/dispatcher/useful_test.go
@@ -17,23 +17,25 @@
 func TestHowLongACallMayWait(t *testing.T) {
 	d := newChain(t, 1, func() carrier.Outcome { return carrier.Outcome{} })[0].Dispatcher
 	tests := []struct {
-		name                 string
-		target, until, usual time.Duration
-		least, most          time.Duration
+		name                       string
+		target, until, work, queue time.Duration
+		least, most                time.Duration
 	}{
-		{"no target", 0, time.Second, 0, 0, 0},
-		{"new route, can come back", 250 * time.Millisecond, 2 * time.Second, 0, 100 * time.Millisecond, 150 * time.Millisecond},
-		{"new route, can't come back", time.Second, time.Second, 0, 400 * time.Millisecond, 600 * time.Millisecond},
-		{"known, can come back", 250 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, 130 * time.Millisecond, 160 * time.Millisecond},
-		{"call below, can't come back", 80 * time.Millisecond, 200 * time.Millisecond, 15 * time.Millisecond, 150 * time.Millisecond, 180 * time.Millisecond},
-		{"late already", 250 * time.Millisecond, 2 * time.Second, 400 * time.Millisecond, minUseful, minUseful},
+		{"no target", 0, time.Second, 0, 0, 0, 0},
+		{"new route, can come back", 250 * time.Millisecond, 2 * time.Second, 0, 0, 100 * time.Millisecond, 150 * time.Millisecond},
+		{"new route, can't come back", time.Second, time.Second, 0, 0, 400 * time.Millisecond, 600 * time.Millisecond},
+		{"known, can come back", 250 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, 0, 130 * time.Millisecond, 160 * time.Millisecond},
+		{"call below, can't come back", 80 * time.Millisecond, 200 * time.Millisecond, 15 * time.Millisecond, 0, 150 * time.Millisecond, 180 * time.Millisecond},
+		{"call below a flood", 120 * time.Millisecond, 400 * time.Millisecond, 40 * time.Millisecond, 100 * time.Millisecond, 280 * time.Millisecond, 340 * time.Millisecond},
+		{"in a flood", 250 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, 400 * time.Millisecond, 130 * time.Millisecond, 160 * time.Millisecond},
+		{"late already", 250 * time.Millisecond, 2 * time.Second, 400 * time.Millisecond, 0, minUseful, minUseful},
 	}
 	for _, test := range tests {
 		now := d.Clock.Now()
 		call := &Call{Route: test.name, Service: "s", Started: now, Target: test.target, Until: now.Add(test.until)}
 		for range 100 {
-			if test.usual > 0 {
-				d.latencies.of(call).observe(test.usual)
+			if test.work > 0 {
+				d.latencies.of(call).observe(test.work+test.queue, test.work)
 			}
 		}
 		if got := d.useful(call); got < test.least || got > test.most {
