--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -95,6 +95,9 @@
 
 // Load is what a node tells about its upstream with each answer.
 type Load struct {
+	// Best is the part of its slots with which the upstream gets most done; zero where its node has not
+	// learned that. It is told in notices only.
+	Best float64 `json:"-"`
 	// Slowdown is how much longer than usual work takes at the upstream; zero where it is not known.
 	Slowdown float64 `json:"slowdown,omitempty"`
 	// Latency is the mean service time of recent requests.
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -127,20 +127,21 @@
 	if call.Target == 0 {
 		return 0
 	}
-	// The whole latency would not do: in a flood it is made of waits, and all would be given up.
-	work := d.latencies.of(call).work.Value()
+	known := d.latencies.of(call)
 	now := d.Clock.Now()
 	if !d.canComeBack(call) {
-		left := call.Until.Sub(now)
+		// The whole latency would not do: in a flood it is made of waits, and all would be given up.
+		work, left := known.work.Value(), call.Until.Sub(now)
 		if work == 0 {
 			work = left / 4
 		}
 		return max(minUseful, left-2*work)
 	}
-	if work == 0 {
-		work = call.Target / 2
+	usual := known.usual.Value()
+	if usual == 0 {
+		usual = call.Target / 2
 	}
-	return max(minUseful, call.Target-work-now.Sub(call.Started))
+	return max(minUseful, call.Target-usual-now.Sub(call.Started))
 }
 
 // note books a try that is followed by another.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -277,6 +277,7 @@
 
 func (e *Executor) currentLoad() carrier.Load {
 	return carrier.Load{
+		Best:     e.limit.Best(),
 		Latency:  e.limit.Latency(),
 		Queued:   e.schedule.Queued(),
 		Running:  e.schedule.Running(),
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -37,6 +37,20 @@
 	e.tell()
 }
 
+// SiblingSeen takes what the node of another upstream of the service has learned of it.
+func (e *Executor) SiblingSeen(service string, load carrier.Load) {
+	if load.Best == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if service != e.announcement.Service {
+		return
+	}
+	e.limit.Adopt(e.Clock.Now(), load.Best)
+	e.applyLimit()
+}
+
 // LoadAge returns how old the newest report is, whether anything runs at the upstream, and whether it
 // has ever told its load.
 func (e *Executor) LoadAge() (age time.Duration, running, tells bool) {
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -37,6 +37,9 @@
 	Slots   int `cbor:"3,keyasint,omitempty"`
 	// Slowdown is how much longer than usual work takes, in percent; zero where it is not known.
 	Slowdown int `cbor:"4,keyasint,omitempty"`
+	// Best is the part of its slots with which the upstream gets most done, in percent; zero where its node
+	// has not learned that.
+	Best int `cbor:"5,keyasint,omitempty"`
 }
 
 // Packet is one datagram between members.
--- a/internal/limiter/crowding.go
+++ b/internal/limiter/crowding.go
@@ -12,11 +12,17 @@
 	crowdedLevels = 5
 	// crowdingGain is by how much more an upstream must get done with fewer slots in use.
 	crowdingGain = 1.1
-	// crowdingTime is how long a lower limit is kept before the slots above it are tried again.
+	// crowdingTime is how long a lower limit is kept before the slots above it are tried again, and
+	// adoptedTime how long one that was learned elsewhere is.
 	crowdingTime = 20 * time.Second
-	minSamples   = 16
+	adoptedTime  = 10 * time.Second
+	// freshTime is for how long after an own trial nothing is adopted.
+	freshTime  = 5 * time.Second
+	minSamples = 8
 	// meanSamples bounds how many samples a mean weighs.
 	meanSamples = 64
+	// roundingError is by how much a number of slots that is worked out by parts may fall short.
+	roundingError = 0.005
 )
 
 // average is a mean in which old samples fade.
@@ -41,11 +47,32 @@
 	levels [crowdedLevels]average
 }
 
+// usual returns the time with the fewest slots in use that is known. It reports false where none is known
+// below the level.
+func (c *crowdedClass) usual(level int) (float64, bool) {
+	if c.calm.isKnown() {
+		return c.calm.value, true
+	}
+	for i := range level {
+		if c.levels[i].isKnown() {
+			return c.levels[i].value, true
+		}
+	}
+	return 0, false
+}
+
 // crowding learns how much longer requests take at an upstream when many of its slots are in use. It
 // compares requests of one class with each other and believes the class that suffers least: the time that
 // a request spends on calls to other services is no sign of crowding here.
 type crowding struct {
+	// adopted is the part of the slots that is best used as learned elsewhere, until adoptedUntil.
+	adopted      float64
+	adoptedUntil time.Time
+	// best is the part that is best used as learned here; zero where it is not known.
+	best    float64
 	classes map[string]*crowdedClass
+	// fresh is until when the upper levels are tried here.
+	fresh time.Time
 	// lowered is when the limit was last found to be below the slots.
 	lowered time.Time
 }
@@ -76,8 +103,7 @@
 // slotsAt returns how many of the slots are in use at the top of a level.
 func slotsAt(level, slots int) int {
 	part := calmPart + (1-calmPart)*float64(level+1)/crowdedLevels
-	// The sum of parts can fall short of a whole number by a rounding error.
-	return int(part*float64(slots) + 1e-9)
+	return int(part*float64(slots) + roundingError)
 }
 
 // stretch returns how much longer requests take at a level than with few slots in use. It reports false
@@ -85,13 +111,14 @@
 func (c *crowding) stretch(level int) (float64, bool) {
 	least, found := 0.0, false
 	for _, class := range c.classes {
-		if !class.calm.isKnown() {
+		usual, ok := class.usual(level)
+		if !ok {
 			continue
 		}
 		if !class.levels[level].isKnown() {
 			return 0, false
 		}
-		if one := class.levels[level].value / class.calm.value; !found || one < least {
+		if one := class.levels[level].value / usual; !found || one < least {
 			least, found = one, true
 		}
 	}
@@ -101,10 +128,14 @@
 // limit returns how many slots are best used.
 func (c *crowding) limit(now time.Time, slots int) int {
 	if !c.lowered.IsZero() && now.Sub(c.lowered) > crowdingTime {
-		c.forget()
+		c.forget(now)
 	}
 	full, ok := c.stretch(crowdedLevels - 1)
 	if !ok {
+		c.best = 0
+		if now.Before(c.adoptedUntil) {
+			return max(1, int(c.adopted*float64(slots)+roundingError))
+		}
 		return slots
 	}
 	best, rate := slots, crowdingGain*float64(slots)/full
@@ -121,11 +152,23 @@
 	if best < slots && c.lowered.IsZero() {
 		c.lowered = now
 	}
+	c.best = float64(best) / float64(slots)
 	return max(1, best)
 }
 
+// adopt takes what was learned of another upstream of the service.
+func (c *crowding) adopt(now time.Time, best float64) {
+	if now.Before(c.fresh) {
+		return
+	}
+	c.adopted = best
+	c.adoptedUntil = now.Add(adoptedTime)
+}
+
 // forget makes the upper levels unknown, so that they are tried again.
-func (c *crowding) forget() {
+func (c *crowding) forget(now time.Time) {
+	c.adoptedUntil = time.Time{}
+	c.fresh = now.Add(freshTime)
 	c.lowered = time.Time{}
 	for _, class := range c.classes {
 		class.levels = [crowdedLevels]average{}
--- a/internal/limiter/crowding_test.go
+++ b/internal/limiter/crowding_test.go
@@ -85,3 +85,21 @@
 		t.Errorf("%d of 12 slots are used once the upstream is not slowed any more", got)
 	}
 }
+
+// TestRestartedNodeAdoptsFromSiblings gives a node that has just started what its siblings know, while all
+// slots are asked for, and lets that lapse.
+func TestRestartedNodeAdoptsFromSiblings(t *testing.T) {
+	l, now := reporting(11), time.Unix(0, 0)
+	l.Adopt(now, 0.73)
+	if got := l.Limit(); got != 8 {
+		t.Errorf("%d of 11 slots are used, want 8", got)
+	}
+	if l.Best() != 0 {
+		t.Error("what was adopted is told on as learned")
+	}
+	now = now.Add(2 * adoptedTime)
+	l.Observe(now, Sample{Class: "plain", Latency: time.Second, Running: 1, Steady: true})
+	if got := l.Limit(); got != 11 {
+		t.Errorf("%d of 11 slots are used after the adopted limit has lapsed", got)
+	}
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -153,6 +153,25 @@
 	l.limit = float64(l.crowding.limit(now, l.slots))
 }
 
+// Best returns the part of the slots with which the upstream gets most done, or zero where that was not
+// learned here.
+func (l *Limiter) Best() float64 {
+	if !l.reported {
+		return 0
+	}
+	return l.crowding.best
+}
+
+// Adopt takes what the node of another upstream of the same service has learned. It is used until this
+// one has learned as much itself.
+func (l *Limiter) Adopt(now time.Time, best float64) {
+	if !l.reported {
+		return
+	}
+	l.crowding.adopt(now, best)
+	l.limit = float64(l.crowding.limit(now, l.slots))
+}
+
 func (l *Limiter) learn(seconds float64) {
 	l.samples++
 	if l.samples == 1 {
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -63,6 +64,7 @@
 func (l *links) TellLoad(entries []string, load carrier.Load) {
 	l.tellLoad(entries, gossiper.Load{
 		Queued: load.Queued, Running: load.Running, Slots: load.Slots, Slowdown: int(100 * load.Slowdown),
+		Best: int(math.Round(100 * load.Best)),
 	})
 }
 
@@ -71,11 +73,13 @@
 	n.log.Debug("The load of a node changed.", "member", from.Name, "running", load.Running,
 		"queued", load.Queued, "slots", load.Slots, "slowdown-percent", load.Slowdown)
 	n.dispatcher.LoadSeen(from.Name, fromGossip(load))
+	n.executor.SiblingSeen(from.Service, fromGossip(load))
 }
 
 func fromGossip(load gossiper.Load) carrier.Load {
 	return carrier.Load{
 		Queued: load.Queued, Running: load.Running, Slots: load.Slots, Slowdown: float64(load.Slowdown) / 100,
+		Best: float64(load.Best) / 100,
 	}
 }
 
