Nodes of a service share what they have learned of crowding; calls below wait at most 1.5 targets

Change: (a) the learned part of the slots travels in notices and answers, a node uses its siblings' until it knows its own (10 s at most; what was adopted is not told on); the lowest known level serves as the reference; 8 samples a level; the upper levels are tried again after a minute, for 2 s without adopting. (b) a call whose caller can't come back waits 1.5 target latencies at most.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -96,8 +96,8 @@
 // Load is what a node tells about its upstream with each answer.
 type Load struct {
 	// Best is the part of its slots with which the upstream gets most done; zero where its node has not
-	// learned that. It is told in notices only.
-	Best float64 `json:"-"`
+	// learned that.
+	Best float64 `json:"best,omitempty"`
 	// Slowdown is how much longer than usual work takes at the upstream; zero where it is not known.
 	Slowdown float64 `json:"slowdown,omitempty"`
 	// Latency is the mean service time of recent requests.
@@ -180,7 +180,7 @@
 	resp.Header.Set(headerEcho, a.echo())
 	resp.Header.Set(headerUsed, strconv.FormatInt(int64(outcome.Used), 10))
 	load := outcome.Load
-	resp.Header.Set(headerLoad, fmt.Sprintf("%d %d %d %d %.2f", load.Running, load.Queued, load.Slots, load.Latency, load.Slowdown))
+	resp.Header.Set(headerLoad, fmt.Sprintf("%d %d %d %d %.2f %.2f", load.Running, load.Queued, load.Slots, load.Latency, load.Slowdown, load.Best))
 }
 
 // Outcome is how an attempt ended.
@@ -232,7 +232,7 @@
 func parseLoad(text string) Load {
 	var load Load
 	var latency int64
-	if _, err := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency, &load.Slowdown); err != nil {
+	if _, err := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency, &load.Slowdown, &load.Best); err != nil {
 		return Load{}
 	}
 	load.Latency = time.Duration(latency)
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -112,6 +112,10 @@
 	return router.Need{Relaxed: work > 0 && left > slowSpan, Service: call.Service, Target: call.Target}
 }
 
+// patience is how many target latencies a call waits whose caller can't come back: what is later is late
+// for the callers of the upstream that makes it as well, and keeps a slot there in use.
+const patience = 1.5
+
 // minUseful tells a node that the answer will be late in any case.
 const minUseful = time.Millisecond
 
@@ -135,7 +139,7 @@
 		if work == 0 {
 			work = left / 4
 		}
-		return max(minUseful, left-2*work)
+		return max(minUseful, min(left-2*work, time.Duration(patience*float64(call.Target))))
 	}
 	usual := known.usual.Value()
 	if usual == 0 {
--- a/internal/limiter/crowding.go
+++ b/internal/limiter/crowding.go
@@ -14,10 +14,10 @@
 	crowdingGain = 1.1
 	// crowdingTime is how long a lower limit is kept before the slots above it are tried again, and
 	// adoptedTime how long one that was learned elsewhere is.
-	crowdingTime = 20 * time.Second
+	crowdingTime = time.Minute
 	adoptedTime  = 10 * time.Second
 	// freshTime is for how long after an own trial nothing is adopted.
-	freshTime  = 5 * time.Second
+	freshTime  = 2 * time.Second
 	minSamples = 8
 	// meanSamples bounds how many samples a mean weighs.
 	meanSamples = 64
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -73,7 +73,7 @@
 	n.log.Debug("The load of a node changed.", "member", from.Name, "running", load.Running,
 		"queued", load.Queued, "slots", load.Slots, "slowdown-percent", load.Slowdown)
 	n.dispatcher.LoadSeen(from.Name, fromGossip(load))
-	n.executor.SiblingSeen(from.Service, fromGossip(load))
+	n.learnFrom(from.Name, fromGossip(load))
 }
 
 func fromGossip(load gossiper.Load) carrier.Load {
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -243,10 +243,32 @@
 		Retries: budgeter.NewRetriesWithBurst(n.retryRatio, n.retryBurst),
 		Self:    n.settings.Name,
 		Sender:  &nearSender{carrier: n.carrier, executor: n.executor, self: n.settings.Name},
-		Targets: n.router,
+		Targets: &targets{Router: n.router, node: n},
 	})
 }
 
+// targets is the router, and passes on to the executor what nodes of its own service have learned.
+type targets struct {
+	*router.Router
+	node *Node
+}
+
+// Learn implements dispatcher.Targets.
+func (t *targets) Learn(name string, load carrier.Load, failed bool) {
+	t.Router.Learn(name, load, failed)
+	t.node.learnFrom(name, load)
+}
+
+// learnFrom has the executor take what another node has learned of its upstream.
+func (n *Node) learnFrom(name string, load carrier.Load) {
+	if load.Best == 0 || name == n.settings.Name {
+		return
+	}
+	if m, ok := n.gossiper.Member(name); ok {
+		n.executor.SiblingSeen(m.Service, load)
+	}
+}
+
 // siblings joins what the router and the gossiper know for the executor.
 type siblings struct {
 	*router.Router
