--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -108,6 +108,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
+	sample.Running = (sample.Running + e.schedule.Running() + 1) / 2
 	delete(e.inFlight, x)
 	e.limit.Observe(now, sample)
 	e.schedule.Done(now, w, sample.Latency)
--- a/internal/limiter/crowding.go
+++ b/internal/limiter/crowding.go
@@ -10,15 +10,16 @@
 	calmPart = 0.5
 	// crowdedLevels divide the slots above calmPart.
 	crowdedLevels = 5
-	// crowdingGain is by how much more an upstream must get done with fewer slots in use.
-	crowdingGain = 1.1
+	// crowdingGain is the part of what all slots get done that fewer must get done as well: each request is
+	// answered sooner then.
+	crowdingGain = 1.0
 	// crowdingTime is how long a lower limit is kept before the slots above it are tried again, and
 	// adoptedTime how long one that was learned elsewhere is.
 	crowdingTime = time.Minute
 	adoptedTime  = 10 * time.Second
 	// freshTime is for how long after an own trial nothing is adopted.
 	freshTime  = 2 * time.Second
-	minSamples = 8
+	minSamples = 16
 	// meanSamples bounds how many samples a mean weighs.
 	meanSamples = 64
 	// roundingError is by how much a number of slots that is worked out by parts may fall short.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -115,7 +115,8 @@
 	// Latency is the time at the upstream.
 	Latency time.Duration
 	Result  Result
-	// Running is the number of requests that ran when this one began, itself included.
+	// Running is the number of requests that ran beside this one, itself included: the mean of those at its
+	// start and at its end.
 	Running int
 	// Steady is true where the upstream has told that its VM ran at its usual speed.
 	Steady bool
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -29,6 +29,8 @@
 	syncInterval      = 20 * time.Second
 	syncPause         = 2 * time.Second
 	syncStartInterval = 100 * time.Millisecond
+	// syncJoinInterval is the pause of a node that knows others but not all of its seeds.
+	syncJoinInterval = 400 * time.Millisecond
 )
 
 // Start opens the listeners and starts the duties. On an error nothing stays open.
@@ -222,8 +224,10 @@
 			to, _ = n.syncPartner()
 		}
 		wait = syncInterval
-		if err := n.syncOnce(ctx, to); err != nil || n.isJoining() {
+		if err := n.syncOnce(ctx, to); err != nil {
 			wait = syncStartInterval
+		} else if n.isJoining() {
+			wait = syncJoinInterval
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -119,13 +119,13 @@
 
 // syncRequest and syncReply compare two views of the members.
 type syncRequest struct {
-	Digest  gossiper.Digest   `json:"digest"`
-	Members []gossiper.Member `json:"members,omitempty"`
+	Digest  gossiper.Digest `json:"digest"`
+	Members records         `json:"members,omitempty"`
 }
 
 type syncReply struct {
-	Digest  gossiper.Digest   `json:"digest"`
-	Members []gossiper.Member `json:"members,omitempty"`
+	Digest  gossiper.Digest `json:"digest"`
+	Members records         `json:"members,omitempty"`
 }
 
 // handle registers a typed handler.
