--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -15,8 +15,9 @@
 	failureCost   = 600 * time.Millisecond
 	fullCost      = 150 * time.Millisecond
 	loadCost      = 40 * time.Millisecond
-	// reportTime is for how long a target's word on its load is used.
-	reportTime      = 400 * time.Millisecond
+	// reportTime is for how long a target's word on its load is used, ever less. In a large fleet an entry
+	// hears of most targets less than once a second.
+	reportTime      = 2 * time.Second
 	relaxedSlowCost = 100 * time.Millisecond
 	slowCost        = 250 * time.Millisecond
 	// jitterCost spreads the calls over targets that are alike.
@@ -52,10 +53,7 @@
 
 // load is the part of the slots that are in use, as far as is known.
 func (c *Candidate) load() float64 {
-	load := 0.0
-	if c.ReportAge < reportTime {
-		load = c.Reported
-	}
+	load := c.Reported * max(0, 1-c.ReportAge.Seconds()/reportTime.Seconds())
 	if c.Slots > 0 {
 		load = max(load, float64(c.Outstanding)/float64(c.Slots))
 	}
--- a/internal/router/cheapest_test.go
+++ b/internal/router/cheapest_test.go
@@ -95,3 +95,21 @@
 		t.Errorf("a target that fails half of its calls got %v", got)
 	}
 }
+
+// TestRarelyHeardTargets hears of two targets once, as in a fleet so large that an entry sends to each only
+// every other second. What was heard counts a second later, and no more after three.
+func TestRarelyHeardTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCheapest()
+		r.LoadSeen("near-1", carrier.Load{Running: 11, Slots: 12, Slowdown: 1})
+		r.LoadSeen("near-2", carrier.Load{Running: 1, Slots: 12, Slowdown: 1})
+		time.Sleep(time.Second)
+		if got := shares(r, browse); got["near-2"] != 1000 {
+			t.Errorf("after a second: %v", got)
+		}
+		time.Sleep(2 * time.Second)
+		if got := shares(r, browse); got["near-1"] < 300 || got["near-2"] < 300 {
+			t.Errorf("after three seconds: %v", got)
+		}
+	})
+}
