--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -55,41 +56,67 @@
 	})
 }
 
+// place holds the addresses of one node of a test.
+type place struct {
+	name                                   string
+	admin, announce, caller, control, peer netip.AddrPort
+}
+
 // writeDeployment writes the settings of n nodes, called n1 and so on, and sets variables such as
 // n1_caller to their addresses. Further arguments name the nodes that have a data folder.
 func writeDeployment(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	ts.Check(os.WriteFile(ts.MkAbs("secret"), []byte(testSecret), 0o600))
+	places, err := writeSettings(ts.MkAbs("."), count, args[1:])
+	ts.Check(err)
+	for _, p := range places {
+		for part, address := range map[string]netip.AddrPort{
+			"admin": p.admin, "announce": p.announce, "caller": p.caller, "control": p.control, "peer": p.peer,
+		} {
+			ts.Setenv(p.name+"_"+part, address.String())
+		}
+	}
+}
+
+// writeSettings writes the settings of nodes, called n1 and so on, into a folder. They follow a document
+// that is there. Those named in replicas have a data folder.
+func writeSettings(folder string, count int, replicas []string) ([]place, error) {
+	if err := os.WriteFile(filepath.Join(folder, "secret"), []byte(testSecret), 0o600); err != nil {
+		return nil, err
+	}
 	const each = 5
 	all, err := demonstrator.FreeAddresses(each * count)
-	ts.Check(err)
+	if err != nil {
+		return nil, err
+	}
 	seeds := []netip.AddrPort{all[3], all[each*min(1, count-1)+3]}
+	var places []place
 	for i := 1; i <= count; i++ {
-		name := fmt.Sprintf("n%d", i)
-		addresses := all[each*(i-1) : each*i]
+		a := all[each*(i-1) : each*i]
+		p := place{fmt.Sprintf("n%d", i), a[0], a[1], a[2], a[3], a[4]}
 		settings := map[string]any{
-			"admin-address": addresses[0], "admin-token-file": "secret", "announce-address": addresses[1],
-			"caller-address": addresses[2], "control-address": addresses[3],
-			"data-centre": fmt.Sprintf("dc%d", i%2), "name": name,
-			"log-level": "warn", "peer-address": addresses[4], "peer-key-file": "secret", "region": "r1",
+			"admin-address": p.admin, "admin-token-file": "secret", "announce-address": p.announce,
+			"caller-address": p.caller, "control-address": p.control,
+			"data-centre": fmt.Sprintf("dc%d", i%2), "name": p.name,
+			"log-level": "warn", "peer-address": p.peer, "peer-key-file": "secret", "region": "r1",
 			"seeds": seeds,
 		}
-		if _, err := os.Stat(ts.MkAbs("document.jsonc")); err == nil {
+		if _, err := os.Stat(filepath.Join(folder, "document.jsonc")); err == nil {
 			settings["document-file"] = "document.jsonc"
 		}
-		for _, replica := range args[1:] {
-			if replica == name {
-				settings["data-folder"] = "data-" + name
-			}
+		if slices.Contains(replicas, p.name) {
+			settings["data-folder"] = "data-" + p.name
 		}
 		data, err := json.MarshalIndent(settings, "", "  ")
-		ts.Check(err)
-		ts.Check(os.WriteFile(ts.MkAbs(name+".jsonc"), data, 0o600))
-		for j, part := range []string{"admin", "announce", "caller", "control", "peer"} {
-			ts.Setenv(name+"_"+part, addresses[j].String())
+		if err != nil {
+			return nil, err
+		}
+		if err := os.WriteFile(filepath.Join(folder, p.name+".jsonc"), data, 0o600); err != nil {
+			return nil, err
 		}
+		places = append(places, p)
 	}
+	return places, nil
 }
 
 func nodeStatus(address string) (*relayer.Status, error) {
@@ -228,19 +255,24 @@
 }
 
 func checkOutcome(ts *testscript.TestScript, line string, ran map[string]int) {
+	ts.Check(judge(line, ran))
+}
+
+// judge returns what is wrong with an outcome, given how often each request ran.
+func judge(line string, ran map[string]int) error {
 	fields := strings.Fields(line)
 	id, method := fields[0], fields[1]
-	if method == fasthttp.MethodPost && ran[id] > 1 {
-		ts.Fatalf("ran %d times: %s", ran[id], line)
-	}
-	if strings.HasSuffix(line, "not-run=true") && ran[id] > 0 {
-		ts.Fatalf("ran although it was said not to have: %s", line)
-	}
-	if strings.HasSuffix(line, "answered") && ran[id] == 0 {
-		ts.Fatalf("answered but did not run: %s", line)
-	}
-	if strings.HasSuffix(line, "wrong") {
-		ts.Fatalf("wrong answer: %s", line)
+	switch {
+	case method == fasthttp.MethodPost && ran[id] > 1:
+		return fmt.Errorf("ran %d times: %s", ran[id], line)
+	case strings.HasSuffix(line, "not-run=true") && ran[id] > 0:
+		return fmt.Errorf("ran although it was said not to have: %s", line)
+	case strings.HasSuffix(line, "answered") && ran[id] == 0:
+		return fmt.Errorf("answered but did not run: %s", line)
+	case strings.HasSuffix(line, "wrong"):
+		return fmt.Errorf("wrong answer: %s", line)
+	default:
+		return nil
 	}
 }
 
