--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -86,6 +86,7 @@
 	folder   string
 	mu       sync.Mutex
 	outcomes []loadgenerator.Outcome
+	places   []place
 	programs []*program
 	proxies  []*proxy
 	random   *rand.Rand
@@ -100,8 +101,12 @@
 	}
 	s.deploy()
 	s.awaitAnswer()
+	o := &operator{soak: s}
+	o.first()
 	ctx, stop := context.WithCancel(t.Context())
 	var work sync.WaitGroup
+	work.Go(func() { o.run(ctx) })
+	work.Go(func() { o.watch(ctx) })
 	for range soakFaulters {
 		work.Go(func() {
 			for ctx.Err() == nil {
@@ -114,7 +119,9 @@
 	stop()
 	work.Wait()
 	s.awaitAnswer()
+	o.settled()
 	s.check()
+	t.Logf("%d versions acknowledged", o.acknowledged)
 }
 
 // deploy starts a node and an upstream in each place, and a proxy before the node.
@@ -126,11 +133,14 @@
 	if err := os.WriteFile(filepath.Join(s.folder, "document.jsonc"), document, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	places, err := writeSettings(s.folder, *soakNodes, nil)
-	if err != nil {
+	var replicas []string
+	for i := range soakReplicas {
+		replicas = append(replicas, fmt.Sprintf("n%d", i+1))
+	}
+	if s.places, err = writeSettings(s.folder, *soakNodes, replicas); err != nil {
 		s.t.Fatal(err)
 	}
-	for i, place := range places {
+	for i, place := range s.places {
 		s.proxies = append(s.proxies, newProxy(s.t, place.caller))
 		s.add("node", "--settings", place.name+".jsonc")
 		s.add("upstream", "--service", "entries", "--announce", place.announce.String(),
