--- a/internal/relayer/forming_test.go
+++ b/internal/relayer/forming_test.go
@@ -42,21 +42,12 @@
 	}
 	r := &formingRig{secrets: &settingsreader.Secrets{AdminToken: []byte("a token for the tests"), Key: key}, t: t}
 	var seeds []netip.AddrPort
-	for i := range count {
-		addresses, err := demonstrator.FreeAddresses(3)
-		if err != nil {
-			t.Fatal(err)
-		}
+	for range count {
+		node := r.place()
+		node.settings.Bootstrap = true
 		if len(seeds) < 3 {
-			seeds = append(seeds, addresses[1])
+			seeds = append(seeds, node.settings.ControlAddress)
 		}
-		r.nodes = append(r.nodes, &replicaNode{settings: &settingsreader.Settings{
-			AdminAddress: addresses[0], Bootstrap: true, ControlAddress: addresses[1], DataCentre: "flacq",
-			DataFolder: t.TempDir(), MaxBodyBytes: settingsreader.DefaultMaxBodyBytes,
-			MaxHeaderBytes: settingsreader.DefaultMaxHeaderBytes, Name: fmt.Sprintf("core-%d", i),
-			PeerAddress: addresses[2], Region: "mauritius", SelfForming: true, ToleratedLosses: 2,
-			UpstreamLease: validator.Duration(time.Second),
-		}})
 	}
 	for _, node := range r.nodes {
 		node.settings.Seeds = seeds
@@ -70,6 +61,24 @@
 	return r
 }
 
+// place adds a node with an empty disk, without starting it.
+func (r *formingRig) place() *replicaNode {
+	r.t.Helper()
+	addresses, err := demonstrator.FreeAddresses(3)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	node := &replicaNode{settings: &settingsreader.Settings{
+		AdminAddress: addresses[0], ControlAddress: addresses[1], DataCentre: "flacq",
+		DataFolder: r.t.TempDir(), MaxBodyBytes: settingsreader.DefaultMaxBodyBytes,
+		MaxHeaderBytes: settingsreader.DefaultMaxHeaderBytes, Name: fmt.Sprintf("core-%d", len(r.nodes)),
+		PeerAddress: addresses[2], Region: "mauritius", SelfForming: true, ToleratedLosses: 2,
+		UpstreamLease: validator.Duration(time.Second),
+	}}
+	r.nodes = append(r.nodes, node)
+	return node
+}
+
 func (r *formingRig) start(node *replicaNode) {
 	r.t.Helper()
 	started, err := relayer.New(node.settings, r.secrets, log.NewNopLogger())
@@ -163,3 +172,32 @@
 	r.change(r.nodes[4], 9, 10)
 	r.awaitEverywhere(10)
 }
+
+// TestAllSeedsAreExchanged replaces the three seeds of a deployment one after the other by new nodes, which
+// only know nodes that stay. Then a node that is told nothing but the new ones must find the document.
+func TestAllSeedsAreExchanged(t *testing.T) {
+	r := newFormingRig(t, 5)
+	r.change(r.nodes[0], 0, 1)
+	r.awaitEverywhere(1)
+	staying := []netip.AddrPort{r.nodes[3].settings.ControlAddress, r.nodes[4].settings.ControlAddress}
+	for range 3 {
+		r.nodes[0].Abort()
+		r.nodes = r.nodes[1:]
+		added := r.place()
+		added.settings.Name = "new-" + added.settings.ControlAddress.String()[len("127.0.0.1:"):]
+		added.settings.Seeds = staying
+		r.start(added)
+		r.await(added.settings.Name+" among the replicas", func() bool {
+			return replicaSet(r.nodes[1])[added.settings.Name] == added.Status().DiskID
+		})
+	}
+	r.change(r.nodes[4], 1, 7)
+	late := r.place()
+	late.settings.Name = "late"
+	late.settings.DataFolder = ""
+	for _, node := range r.nodes[2:5] {
+		late.settings.Seeds = append(late.settings.Seeds, node.settings.ControlAddress)
+	}
+	r.start(late)
+	r.awaitEverywhere(7)
+}
--- a/internal/replicator/trouble_test.go
+++ b/internal/replicator/trouble_test.go
@@ -138,3 +138,34 @@
 		time.Sleep(2 * messageTime)
 	})
 }
+
+// TestMinorityBehindThenLossElsewhere cuts two replicas off while changes are made, then wipes one of the
+// others, stops the rest and heals the cut: three replicas answer, two of them with an old version, and the
+// wiped one under its old name. No old version may be read; the newest is there once one that holds it is back.
+func TestMinorityBehindThenLossElsewhere(t *testing.T) {
+	d := newDisks(t, "a", "b", "c", "d", "e")
+	replicas := d.bootstrap("a", "b", "c", "d", "e")
+	for _, vm := range []string{"d", "e"} {
+		d.setCut(vm, true)
+	}
+	const changes = 20
+	for version := uint64(1); version <= changes; version++ {
+		if _, _, err := d.proposer("p", replicas).Apply(t.Context(), change(fmt.Sprint("c", version), version, replicas)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.wipe("a")
+	d.stop("b")
+	d.stop("c")
+	for _, vm := range []string{"d", "e"} {
+		d.setCut(vm, false)
+	}
+	if value, err := d.proposer("reader", replicas).Read(t.Context()); err == nil {
+		t.Errorf("version %d was read without a replica that holds version %d", value.Version, changes+1)
+	}
+	d.start("b")
+	value, err := d.proposer("reader", replicas).Read(t.Context())
+	if err != nil || value.Version != changes+1 {
+		t.Errorf("read %+v, %v after the heal, want version %d", value, err, changes+1)
+	}
+}
