One silent logger; an attempt's beginning is noted under one lock

What is known of the upstream at a request's start was read under a lock of its own before and after each request; it is taken where the request is noted anyway. A notice's load was translated twice. No change of behaviour.

--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -72,9 +72,8 @@
 	return carrier.Load{Slowdown: e.load.slowdown}.IsSlow() && e.Clock.Now().Sub(e.load.at) < loadTime
 }
 
-// isSteady reports whether the upstream has told of late that its VM runs at its usual speed.
+// isSteady reports whether the upstream has told of late that its VM runs at its usual speed. It is called
+// with mu held.
 func (e *Executor) isSteady() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.load.slowdown > 0 && e.load.slowdown < steadySlowdown && e.Clock.Now().Sub(e.load.at) < loadTime
 }
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -26,13 +26,12 @@
 
 // run sends the attempt to the upstream in the slot that w holds.
 func (e *Executor) run(ctx context.Context, x *Execution, w *scheduler.Waiter) carrier.Outcome {
-	steady := e.isSteady()
-	instance, running, alone := e.enter(x)
+	begun, alone := e.enter(x)
 	for tries := 0; !alone && tries < apartTries; tries++ {
 		timekeeper.Sleep(ctx, e.Clock, apartPause)
-		instance, running, alone = e.enter(x)
+		begun, alone = e.enter(x)
 	}
-	if instance == "" {
+	if begun.instance == "" {
 		e.release(w)
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
 	}
@@ -47,13 +46,13 @@
 	out := &fasthttp.Request{}
 	x.Request.Header.CopyTo(&out.Header)
 	out.SetBodyRaw(x.Request.Body())
-	e.Stamp(&x.Attempt, out, instance, x.Deadline)
+	e.Stamp(&x.Attempt, out, begun.instance, x.Deadline)
 	started := e.Clock.Now()
 	err := e.Upstream.Do(ctx, out, x.Response, x.Deadline)
 	used := e.Clock.Now().Sub(started)
 	outcome := carrier.Outcome{Arrived: !errors.Is(err, forwarder.ErrNotSent), Used: used}
 	if err != nil {
-		outcome.Refusal = e.explain(ctx, instance, err)
+		outcome.Refusal = e.explain(ctx, begun.instance, err)
 		outcome.Lost = x.Attempt.Idempotent && !outcome.Refusal.IsNotRun()
 		x.Response.Reset()
 	}
@@ -61,8 +60,8 @@
 		e.exonerate(x)
 	}
 	e.leave(x, w, limiter.Sample{
-		Class: x.Attempt.Rank, Latency: used, Result: e.resultOf(x.Response, err), Running: running,
-		Steady: err == nil && steady && e.isSteady(),
+		Class: x.Attempt.Rank, Latency: used, Result: e.resultOf(x.Response, err), Running: begun.running,
+		Steady: err == nil && begun.steady,
 	})
 	return outcome
 }
@@ -81,26 +80,34 @@
 	}
 }
 
-// enter notes that the attempt runs. It returns the upstream's instance and the running requests.
-// It reports false when the request and one that runs here were both part of a crash: such requests
-// run apart, so that the next crash tells which of them caused it. The instance is empty where the
-// upstream serves another service by now.
-func (e *Executor) enter(x *Execution) (instance string, running int, alone bool) {
+// beginning is what was known of the upstream when a request began to run there.
+type beginning struct {
+	// instance is empty where the upstream serves another service by now.
+	instance string
+	// running is the number of requests that ran, this one included.
+	running int
+	// steady is true where the VM ran at its usual speed.
+	steady bool
+}
+
+// enter notes that the attempt runs. It reports false when the request and one that runs here were both
+// part of a crash: such requests run apart, so that the next crash tells which of them caused it.
+func (e *Executor) enter(x *Execution) (begun beginning, alone bool) {
 	fingerprint := e.fingerprint(x)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.announcement.Service != x.Attempt.Service {
-		return "", 0, true
+		return beginning{}, true
 	}
 	if e.Quarantiner.IsSuspect(fingerprint) {
 		for _, other := range e.inFlight {
 			if other != fingerprint && e.Quarantiner.IsSuspect(other) {
-				return "", 0, false
+				return beginning{}, false
 			}
 		}
 	}
 	e.inFlight[x] = fingerprint
-	return e.announcement.Instance, e.schedule.Running(), true
+	return beginning{instance: e.announcement.Instance, running: e.schedule.Running(), steady: e.isSteady()}, true
 }
 
 // leave frees the slot and teaches the limit.
@@ -108,6 +115,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
+	sample.Steady = sample.Steady && e.isSteady()
 	sample.Running = (sample.Running + e.schedule.Running() + 1) / 2
 	delete(e.inFlight, x)
 	e.limit.Observe(now, sample)
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -74,3 +74,10 @@
 	// A log line that can't be written must not stop the work it tells of.
 	_ = to.Log(line...)
 }
+
+// Silent drops the lines that libraries write of their own: lost connections and late answers are logged and
+// counted where they matter.
+type Silent struct{}
+
+// Printf implements the loggers of fasthttp and jsonrpc2.
+func (Silent) Printf(string, ...any) {}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 )
 
@@ -145,16 +146,9 @@
 	metered := &meteredConn{Conn: raw, meter: m.meter, purpose: purpose.String()}
 	stream := jsonrpc2.NewPlainObjectStream(metered)
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed())
-	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(silentLogger{}))
+	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(logger.Silent{}))
 }
 
-// silentLogger drops the library's own lines: lost connections and late answers are the callers' to
-// count.
-type silentLogger struct{}
-
-// Printf implements jsonrpc2.Logger.
-func (silentLogger) Printf(string, ...any) {}
-
 func (m *Messenger) dispatch(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	handler, ok := m.handlers[req.Method]
 	if !ok {
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -15,6 +15,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/hintreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/listener"
+	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 )
 
@@ -180,7 +181,7 @@
 		ErrorHandler:                  n.serveError,
 		Handler:                       handler,
 		IdleTimeout:                   idleTimeout,
-		Logger:                        silentLogger{},
+		Logger:                        logger.Silent{},
 		MaxRequestBodySize:            n.settings.MaxBodyBytes,
 		NoDefaultContentType:          true,
 		NoDefaultServerHeader:         true,
@@ -189,12 +190,6 @@
 	}
 }
 
-// silentLogger drops the HTTP library's own lines; what matters is logged and counted here.
-type silentLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (silentLogger) Printf(string, ...any) {}
-
 func (n *Node) receive() {
 	buffer := make([]byte, 2*gossiper.MaxPacketBytes)
 	for {
--- a/internal/relayer/links.go
+++ b/internal/relayer/links.go
@@ -72,8 +72,9 @@
 func (n *Node) LoadSeen(from gossiper.Member, load gossiper.Load) {
 	n.log.Debug("The load of a node changed.", "member", from.Name, "running", load.Running,
 		"queued", load.Queued, "slots", load.Slots, "slowdown-percent", load.Slowdown)
-	n.dispatcher.LoadSeen(from.Name, fromGossip(load))
-	n.learnFrom(from.Name, fromGossip(load))
+	seen := fromGossip(load)
+	n.dispatcher.LoadSeen(from.Name, seen)
+	n.learnFrom(from.Name, seen)
 }
 
 func fromGossip(load gossiper.Load) carrier.Load {
