A suspect that may not run beside another is refused as quarantined

Cause: the check for a replaced upstream came first and its sign, no instance, is also what a suspect beside another one gets: the refusal for quarantine could not be reached, and the node counted as failing. Found by reading the change. Test: TestSuspectsRunApart, no-upstream before, quarantined after.

--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -31,14 +31,14 @@
 		timekeeper.Sleep(ctx, e.Clock, apartPause)
 		begun, alone = e.enter(x)
 	}
-	if begun.instance == "" {
-		e.release(w)
-		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
-	}
 	if !alone {
 		e.release(w)
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonQuarantined, "another request that was part of a crash runs here")}
 	}
+	if begun.instance == "" {
+		e.release(w)
+		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
+	}
 	if !x.Attempt.Idempotent {
 		// What has begun to run is finished, so that its outcome can be asked for.
 		ctx = context.WithoutCancel(ctx)
--- a/internal/executor/slow_test.go
+++ b/internal/executor/slow_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
@@ -143,3 +144,24 @@
 		}
 	})
 }
+
+// TestSuspectsRunApart offers two requests that were part of one crash. While the first runs the second waits,
+// and is refused for what it is.
+func TestSuspectsRunApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newGroup(t, 1, true, 1, 1e9, testDocument(time.Second)).members[0]
+		m.group.demand = func(string) time.Duration { return 800 * time.Millisecond }
+		crash := quarantiner.Crash{Instance: "crashed", Service: testService}
+		for _, id := range []string{"first", "second"} {
+			crash.Fingerprints = append(crash.Fingerprints, m.fingerprint(m.execution(id, time.Now())))
+		}
+		m.Quarantiner.Report(crash)
+		must := func(*carrier.Attempt) {}
+		go m.offer("first", must)
+		synctest.Wait()
+		if got := reasonOf(m.offer("second", must)); got != refuser.ReasonQuarantined {
+			t.Errorf("the second suspect: %q, want %q", got, refuser.ReasonQuarantined)
+		}
+		time.Sleep(time.Second)
+	})
+}
