The red test is the one that forms a deployment, not that of exchanged seeds

Cause of the wrong listing: the failed run gave no message and ran both tests. It took 29.957 s: 7 s for the first and 22 for the second. Check and bound stay as they are.

--- a/internal/relayer/forming_test.go
+++ b/internal/relayer/forming_test.go
@@ -143,6 +143,7 @@
 // TestDeploymentFormsByItself starts five nodes with disks, makes versions in uneven steps, wipes two
 // disks, and kills all processes at once. No operator names a replica.
 func TestDeploymentFormsByItself(t *testing.T) {
+	skipper.KnownRed(t)
 	r := newFormingRig(t, 5)
 	r.change(r.nodes[3], 0, 4)
 	r.awaitEverywhere(4)
@@ -177,7 +178,6 @@
 // TestAllSeedsAreExchanged replaces the three seeds of a deployment one after the other by new nodes, which
 // only know nodes that stay. Then a node that is told nothing but the new ones must find the document.
 func TestAllSeedsAreExchanged(t *testing.T) {
-	skipper.KnownRed(t)
 	r := newFormingRig(t, 5)
 	r.change(r.nodes[0], 0, 1)
 	r.awaitEverywhere(1)
