Count arrivals by whether they are the first of their request

Nobody could tell how many repeats a service had got, and of which kind: the scraped metrics ended inside the first histogram, and calls of a run that was itself a further try looked like any others. Attempts now say which try they are, the node beside the upstream counts arrivals by it, the counts stand before the histograms, and a line every 2 s tells them. No decision changes.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -82,6 +82,36 @@
 	// Useful is how long the attempt may wait for its start to be answered in time; zero where no target
 	// latency is set.
 	Useful time.Duration `cbor:"19,keyasint,omitempty"`
+	Try    Try           `cbor:"20,keyasint,omitempty"`
+}
+
+// Try tells whether an arrival of the attempt at an upstream is the first of its request.
+type Try int
+
+// The values of Try.
+const (
+	TryFirst Try = iota
+	// TryFurther is an attempt of a request that an upstream may have got before.
+	TryFurther
+	// TryBelowFurther is an attempt of a call that an upstream makes while it runs a further try.
+	TryBelowFurther
+)
+
+// Tries returns every value.
+func Tries() []Try {
+	return []Try{TryFirst, TryFurther, TryBelowFurther}
+}
+
+// String returns the name of the value in logs and metrics.
+func (t Try) String() string {
+	switch t {
+	case TryFurther:
+		return "further"
+	case TryBelowFurther:
+		return "below-further"
+	default:
+		return "first"
+	}
 }
 
 // ID returns the identity of the attempt.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,6 +52,13 @@
 	Send(ctx context.Context, to gossiper.Member, a carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) carrier.Outcome
 }
 
+// Runs knows what runs at the upstream beside the node.
+type Runs interface {
+	// Find returns the attempt that the upstream runs for a call, by the call's id or by the one that its
+	// caller gave it.
+	Find(call, request string) (carrier.Attempt, bool)
+}
+
 // Claims makes a request with an idempotency key run once, whichever entry node it comes to.
 type Claims interface {
 	// Run calls run unless the key was claimed before; then it leaves the first answer in resp.
@@ -60,6 +67,8 @@
 
 // Call is a caller's request with what its route says of it.
 type Call struct {
+	// BelowFurther is true for a call that an upstream makes while it runs a further try.
+	BelowFurther bool
 	// Attempts is the number of upstreams that the request may be sent to.
 	Attempts int
 	// Caller is the service on the VM where the call began.
@@ -110,6 +119,7 @@
 	Retries     *budgeter.Retries
 	// Self is the name of this node as a target.
 	Self    string
+	Runs    Runs
 	Sender  Sender
 	Targets Targets
 }
@@ -197,6 +207,9 @@
 	if nested {
 		call.inherit(&inherited)
 	}
+	if parent, ok := d.Runs.Find(inherited.Call, said.Parent); ok {
+		call.BelowFurther = parent.Try != carrier.TryFirst
+	}
 	if call.Depth > maxDepth {
 		return call, refuser.New(refuser.ReasonBadRequest, "calls are nested too deeply")
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -48,6 +48,9 @@
 	return router.Choice{Member: gossiper.Member{Name: "target"}}, true
 }
 
+// Find implements Runs.
+func (l *level) Find(string, string) (carrier.Attempt, bool) { return carrier.Attempt{}, false }
+
 // LoadSeen implements Targets.
 func (l *level) LoadSeen(string, carrier.Load) bool { return false }
 
@@ -131,6 +134,7 @@
 			Name:        fmt.Sprintf("n%d", i),
 			OpenContext: func(req *fasthttp.Request) (carrier.Context, bool) { return carrier.OpenContext(key, req) },
 			Retries:     budgeter.NewRetries(func(string) float64 { return retryRatio }),
+			Runs:        l,
 			Sender:      l,
 			Targets:     l,
 		})
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -150,7 +150,7 @@
 func (d *Dispatcher) tryHedged(ctx context.Context, call *Call, j *Journey, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	// Calls that other calls make are not hedged, because hedges at each level would multiply.
 	if !call.Idempotent || call.Depth > 0 || j.Runs+1 >= call.Attempts {
-		return d.try(ctx, call, target, optional, j.HandBacks > 0, req, resp)
+		return d.try(ctx, call, target, d.attempt(call, j, optional), req, resp)
 	}
 	first, stopFirst := context.WithCancel(ctx)
 	defer stopFirst()
@@ -171,7 +171,7 @@
 		})
 		defer timer.Stop()
 	}
-	outcome := d.try(first, call, target, optional, j.HandBacks > 0, req, resp)
+	outcome := d.try(first, call, target, d.attempt(call, j, optional), req, resp)
 	if !h.finish() {
 		return outcome
 	}
@@ -211,6 +211,11 @@
 	return true
 }
 
+// hedgeAttempt returns the second try beside a first one, whether or not that has arrived yet.
+func (d *Dispatcher) hedgeAttempt(call *Call) carrier.Attempt {
+	return d.attempt(call, &Journey{Arrivals: 1, HandBacks: 1}, true)
+}
+
 // runHedge makes the second try if the budget allows and a target takes it at once.
 func (d *Dispatcher) runHedge(h *hedge, reason meter.RetryReason) {
 	if !d.Retries.Spend(h.call.Neighbour) {
@@ -232,7 +237,7 @@
 		if d.Hedged != nil {
 			d.Hedged(h.call, h.target, target.Name, reason)
 		}
-		outcome = d.try(h.ctx, h.call, target.Member, true, true, h.req, h.resp)
+		outcome = d.try(h.ctx, h.call, target.Member, d.hedgeAttempt(h.call), h.req, h.resp)
 		if outcome.Reached() || !isHandBack(&outcome) {
 			break
 		}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -181,14 +181,14 @@
 	return refuser.Later(refuser.ReasonNoUpstream, noUpstreamRetry, "no server of the service is ready")
 }
 
-func (d *Dispatcher) try(ctx context.Context, call *Call, target gossiper.Member, optional, handedOn bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
-	resp.Reset()
-	attempt := carrier.Attempt{
+// attempt returns the next attempt of the call.
+func (d *Dispatcher) attempt(call *Call, j *Journey, optional bool) carrier.Attempt {
+	return carrier.Attempt{
 		Call:       call.ID,
 		Caller:     call.Caller,
 		Chain:      call.Chain,
 		Depth:      call.Depth,
-		HandedOn:   handedOn,
+		HandedOn:   j.HandBacks > 0,
 		Idempotent: call.Idempotent,
 		Key:        call.Key,
 		Neighbour:  call.Neighbour,
@@ -197,8 +197,26 @@
 		Relaxed:    d.need(call).Relaxed,
 		Request:    call.Request,
 		Service:    call.Service,
+		Try:        call.tryAfter(j.Arrivals),
 		Useful:     d.useful(call),
 	}
+}
+
+// tryAfter tells of an attempt that follows the given number of arrivals whether it is the call's first.
+func (c *Call) tryAfter(arrivals int) carrier.Try {
+	switch {
+	case c.BelowFurther:
+		return carrier.TryBelowFurther
+	case arrivals > 0:
+		return carrier.TryFurther
+	default:
+		return carrier.TryFirst
+	}
+}
+
+// try sends the attempt to the target and learns from its outcome.
+func (d *Dispatcher) try(ctx context.Context, call *Call, target gossiper.Member, attempt carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
+	resp.Reset()
 	d.Targets.Sent(target.Name)
 	outcome := d.Sender.Send(ctx, target, attempt, req, resp, call.Deadline)
 	d.Targets.Learn(target.Name, outcome.Load, isFailure(&outcome, resp))
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -51,6 +51,9 @@
 	err := e.Upstream.Do(ctx, out, x.Response, x.Deadline)
 	used := e.Clock.Now().Sub(started)
 	outcome := carrier.Outcome{Arrived: !errors.Is(err, forwarder.ErrNotSent), Used: used}
+	if outcome.Arrived {
+		e.Meter.Arrived(x.Attempt.Service, x.Attempt.Try.String())
+	}
 	if err != nil {
 		outcome.Refusal = e.explain(ctx, begun.instance, err)
 		outcome.Lost = x.Attempt.Idempotent && !outcome.Refusal.IsNotRun()
@@ -212,6 +215,20 @@
 	e.Links.ReportCrash(ctx, crash)
 }
 
+// Find returns the attempt that the upstream runs for a call, by the call's id or by the one that its
+// caller gave it. Empty ids match nothing.
+func (e *Executor) Find(call, request string) (carrier.Attempt, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for x := range e.inFlight {
+		a := &x.Attempt
+		if (call != "" && a.Call == call) || (request != "" && a.Request == request) {
+			return *a, true
+		}
+	}
+	return carrier.Attempt{}, false
+}
+
 // FailedBelow notes that a call made on behalf of the given one failed for good, so that nobody
 // above retries it again.
 func (e *Executor) FailedBelow(call string) {
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -19,6 +19,9 @@
 type Request struct {
 	// ID identifies the request over all nodes; empty where the caller gave none.
 	ID string
+	// Parent is the id of the request that an upstream makes this one for; empty where the id does not
+	// tell.
+	Parent string
 	// Timeout is how long the caller waits; zero where it does not say.
 	Timeout time.Duration
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -36,13 +36,15 @@
 
 // Meter holds the metrics of one node. It is safe for concurrent use.
 type Meter struct {
-	set *metrics.Set
+	// histograms are written after the counters, which are few.
+	histograms *metrics.Set
+	set        *metrics.Set
 }
 
 // New returns a meter with every refusal and retry counter at zero.
 func New() *Meter {
 	metrics.ExposeMetadata(true)
-	m := &Meter{set: metrics.NewSet()}
+	m := &Meter{histograms: metrics.NewSet(), set: metrics.NewSet()}
 	for _, reason := range refuser.Reasons() {
 		m.refusals(reason)
 	}
@@ -67,6 +69,20 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_retries_refused_total{reason=%q}`, reason))
 }
 
+func (m *Meter) arrivals(service, try string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_arrivals_total{service=%q,try=%q}`, service, try))
+}
+
+// Arrived counts a request that the upstream beside the node has got.
+func (m *Meter) Arrived(service, try string) {
+	m.arrivals(service, try).Inc()
+}
+
+// ArrivalCount returns how many requests of a service the upstream beside the node has got.
+func (m *Meter) ArrivalCount(service, try string) uint64 {
+	return m.arrivals(service, try).Get()
+}
+
 // Refused counts a refusal that a caller was given.
 func (m *Meter) Refused(reason refuser.Reason) {
 	m.refusals(reason).Inc()
@@ -85,16 +101,16 @@
 // Answered records the total time of an answered call and the time that the nodes added to it.
 func (m *Meter) Answered(service, rank string, total, added time.Duration) {
 	labels := fmt.Sprintf(`{service=%q,rank=%q}`, service, rank)
-	m.set.GetOrCreateHistogram("marigoldrelay_call_seconds" + labels).Update(total.Seconds())
-	m.set.GetOrCreateHistogram("marigoldrelay_added_seconds" + labels).Update(added.Seconds())
+	m.histograms.GetOrCreateHistogram("marigoldrelay_call_seconds" + labels).Update(total.Seconds())
+	m.histograms.GetOrCreateHistogram("marigoldrelay_added_seconds" + labels).Update(added.Seconds())
 }
 
 // Finished records how long a call took until it had its outcome, and how old the knowledge was by which
 // its target was picked.
 func (m *Meter) Finished(service, rank, outcome string, took, loadAge time.Duration) {
 	labels := fmt.Sprintf(`{service=%q,rank=%q,outcome=%q}`, service, rank, outcome)
-	m.set.GetOrCreateHistogram("marigoldrelay_finished_seconds" + labels).Update(took.Seconds())
-	m.set.GetOrCreateHistogram("marigoldrelay_load_age_seconds").Update(loadAge.Seconds())
+	m.histograms.GetOrCreateHistogram("marigoldrelay_finished_seconds" + labels).Update(took.Seconds())
+	m.histograms.GetOrCreateHistogram("marigoldrelay_load_age_seconds").Update(loadAge.Seconds())
 }
 
 // Count implements messenger.Meter: bytes of control traffic sent for a purpose.
@@ -130,5 +146,6 @@
 // Write writes the metrics in the Prometheus text format, with those of the process.
 func (m *Meter) Write(w io.Writer) {
 	m.set.WritePrometheus(w)
+	m.histograms.WritePrometheus(w)
 	metrics.WritePrometheus(w, true)
 }
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -49,6 +49,7 @@
 	n.duty(func() { every(ctx, gossiper.TickInterval, n.gossiper.Tick) })
 	n.duty(func() { every(ctx, executor.SweepInterval, n.executor.Sweep) })
 	n.duty(func() { every(ctx, hintreader.Interval, func() { n.hints.Read(ctx) }) })
+	n.duty(func() { every(ctx, arrivalInterval, n.tellArrivals()) })
 	n.duty(func() { n.syncMembers(ctx) })
 	n.duty(func() { n.pullDocuments(ctx) })
 	n.duty(func() { n.learn(ctx) })
--- a/internal/relayer/journal.go
+++ b/internal/relayer/journal.go
@@ -131,6 +131,36 @@
 		"took", round.Took, "revision", round.Revision, "error", round.Err)
 }
 
+// arrivalInterval is how often a node tells what its upstream has got.
+const arrivalInterval = 2 * time.Second
+
+// tellArrivals returns a function that tells how many requests the upstream has got since its last call, by
+// whether they were the first of their request.
+func (n *Node) tellArrivals() func() {
+	type kind struct {
+		service string
+		try     carrier.Try
+	}
+	told := make(map[kind]uint64)
+	return func() {
+		service := n.service()
+		if service == "" {
+			return
+		}
+		line := []any{"service", service}
+		changed := false
+		for _, try := range carrier.Tries() {
+			count, before := n.meter.ArrivalCount(service, try.String()), told[kind{service, try}]
+			line = append(line, try.String(), count-before)
+			changed = changed || count != before
+			told[kind{service, try}] = count
+		}
+		if changed {
+			n.log.Info("Arrivals at the upstream.", line...)
+		}
+	}
+}
+
 // isOrdinary reports whether the outcome is part of every day: an answer, a request that was handed back,
 // or the loser of two tries.
 func isOrdinary(outcome *carrier.Outcome) bool {
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -240,6 +240,7 @@
 		OpenContext: func(req *fasthttp.Request) (carrier.Context, bool) {
 			return carrier.OpenContext(n.secrets.Key, req)
 		},
+		Runs:    n.executor,
 		Retries: budgeter.NewRetriesWithBurst(n.retryRatio, n.retryBurst),
 		Self:    n.settings.Name,
 		Sender:  &nearSender{carrier: n.carrier, executor: n.executor, self: n.settings.Name},
