--- /dev/null
+++ b/internal/relayer/virtual_test.go
@@ -0,0 +1,267 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
+	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/router"
+	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/validator"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
+	"github.com/marigoldrelay/marigoldrelay/platform"
+)
+
+const (
+	// virtualHop is the time between two nodes.
+	virtualHop   = time.Millisecond
+	virtualSlots = 12
+	// headerTestRequest holds the id of a request of a virtual deployment.
+	headerTestRequest = "Test-Request"
+)
+
+// testInterpreter reads the ids of requests; that of a call starts with its parent's.
+type testInterpreter struct {
+	interpreter.Native
+}
+
+// ReadRequest implements Interpreter.
+func (i testInterpreter) ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error) {
+	request, err := i.Native.ReadRequest(header)
+	request.ID = string(header.Peek(headerTestRequest))
+	if last := strings.LastIndex(request.ID, "."); last >= 0 {
+		request.Parent = request.ID[:last]
+	}
+	return request, err
+}
+
+// virtualDeployment is real nodes in virtual time, joined by calls of functions in place of a network.
+type virtualDeployment struct {
+	t        *testing.T
+	document *validator.Document
+	budget   platform.Budget
+	mu       sync.Mutex
+	members  map[string]*virtualNode
+	names    []string
+	upstream func(at *virtualNode, ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
+}
+
+// virtualNode is one node of a virtual deployment with the upstream beside it.
+type virtualNode struct {
+	*Node
+	deployment *virtualDeployment
+	name       string
+	serves     string
+	starts     uint64
+}
+
+func newVirtualDeployment(t *testing.T) *virtualDeployment {
+	t.Helper()
+	text, err := os.ReadFile("testdata/repeats/document.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget := platform.Budget{ControlBytesPerSecond: 7000, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: validator.Duration(10 * time.Second)}
+	document, err := budget.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &virtualDeployment{t: t, budget: budget, document: document, members: make(map[string]*virtualNode)}
+}
+
+// add starts a node with an upstream of the service, or starts it again. Nobody knows of it yet.
+func (d *virtualDeployment) add(name, service string) *virtualNode {
+	d.t.Helper()
+	settings := &settingsreader.Settings{
+		Name: name, DataCentre: "here", Region: "here", LogLines: 1, TrustNetwork: true, UpstreamService: service,
+		UpstreamLease:  validator.Duration(time.Hour),
+		ControlAddress: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+len(d.names))),
+		PeerAddress:    netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 2000+len(d.names))),
+		MaxBodyBytes:   settingsreader.DefaultMaxBodyBytes, MaxHeaderBytes: settingsreader.DefaultMaxHeaderBytes,
+	}
+	secrets, err := settings.LoadSecrets()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	node, err := New(settings, secrets, log.NewNopLogger(), WithInterpreter(testInterpreter{}), WithPolicy(router.Cheapest{}))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	v := &virtualNode{Node: node, deployment: d, name: name, serves: service, starts: 1}
+	d.mu.Lock()
+	if old, ok := d.members[name]; ok {
+		v.starts = old.starts + 1
+	} else {
+		d.names = append(d.names, name)
+	}
+	d.members[name] = v
+	d.mu.Unlock()
+	node.dispatcher.Sender = v
+	node.executor.Sender, node.executor.Links, node.executor.Upstream = v, v, v
+	node.executor.Siblings = v
+	node.Preset(d.document)
+	node.announced(announcer.Announcement{
+		Address: "127.0.0.1:1", Instance: v.instance(), Service: service, Slots: virtualSlots, State: announcer.StateReady,
+	})
+	node.router.Update(v.record())
+	return v
+}
+
+// introduce makes the nodes of one list known to those of the other.
+func (d *virtualDeployment) introduce(to, known []string) {
+	for _, name := range to {
+		for _, other := range known {
+			d.member(name).router.Update(d.member(other).record())
+		}
+	}
+}
+
+func (d *virtualDeployment) member(name string) *virtualNode {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members[name]
+}
+
+func (v *virtualNode) instance() string {
+	return fmt.Sprintf("%s.%d", v.name, v.starts)
+}
+
+func (v *virtualNode) record() gossiper.Member {
+	return gossiper.Member{
+		Name: v.name, DataCentre: "here", Region: "here", Incarnation: v.starts, Service: v.serves,
+		Slots: virtualSlots, Upstream: announcer.StateReady,
+	}
+}
+
+// Send implements dispatcher.Sender and executor.Sender.
+func (v *virtualNode) Send(ctx context.Context, to gossiper.Member, a carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) carrier.Outcome {
+	v.carrier.Name(&a)
+	target := v.deployment.member(to.Name)
+	if target != v {
+		time.Sleep(virtualHop)
+	}
+	if target.starts != to.Incarnation {
+		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the node has started again")}
+	}
+	outcome := target.executor.Execute(ctx, &executor.Execution{Attempt: a, Deadline: deadline, Request: req, Response: resp})
+	if target != v {
+		time.Sleep(virtualHop)
+	}
+	return outcome
+}
+
+// Pull implements executor.Links.
+func (v *virtualNode) Pull(_ context.Context, home gossiper.Member, request executor.PullRequest) (executor.PullReply, error) {
+	time.Sleep(2 * virtualHop)
+	return v.deployment.member(home.Name).executor.Pull(request), nil
+}
+
+// Reserve implements executor.Links.
+func (v *virtualNode) Reserve(_ context.Context, to gossiper.Member, request executor.ReserveRequest) error {
+	time.Sleep(virtualHop)
+	v.deployment.member(to.Name).executor.Reserve(request)
+	return nil
+}
+
+// ReportCrash implements executor.Links.
+func (v *virtualNode) ReportCrash(context.Context, quarantiner.Crash) {}
+
+// ReportInnocent implements executor.Links.
+func (v *virtualNode) ReportInnocent(context.Context, quarantiner.Acquittal) {}
+
+// TellLoad implements executor.Links.
+func (v *virtualNode) TellLoad(entries []string, load carrier.Load) {
+	for _, name := range entries {
+		time.AfterFunc(virtualHop, func() { v.deployment.member(name).dispatcher.LoadSeen(v.name, load) })
+	}
+}
+
+// HandOn implements executor.Siblings.
+func (v *virtualNode) HandOn(service string, exclude []string) (gossiper.Member, bool) {
+	return v.router.HandOn(service, exclude)
+}
+
+// Member implements executor.Siblings.
+func (v *virtualNode) Member(name string) (gossiper.Member, bool) {
+	return v.deployment.member(name).record(), true
+}
+
+// Reservation implements executor.Siblings.
+func (v *virtualNode) Reservation(service string, exclude []string) (gossiper.Member, bool) {
+	return v.router.Reservation(service, exclude)
+}
+
+// Do implements executor.Upstream.
+func (v *virtualNode) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	return v.deployment.upstream(v, ctx, req, resp, deadline)
+}
+
+// IsDown implements executor.Upstream.
+func (v *virtualNode) IsDown(context.Context, string) bool { return false }
+
+// request sends a request through the node and returns the status of its answer.
+func (v *virtualNode) request(ctx context.Context, id, kind string, idempotent bool, limit time.Duration) int {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("/" + kind + "/" + id)
+	req.Header.SetHost("test")
+	if !idempotent {
+		req.Header.SetMethod(fasthttp.MethodPost)
+	}
+	req.Header.Set(headerTestRequest, id)
+	req.Header.Set(interpreter.HeaderTimeout, fmt.Sprintf("%.3f", limit.Seconds()))
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if refusal := v.dispatcher.Dispatch(ctx, req, resp); refusal != nil {
+		return refusal.Status()
+	}
+	return resp.StatusCode()
+}
+
+// work takes the time unless the deadline or the caller ends it before.
+func work(ctx context.Context, taken time.Duration, deadline time.Time) error {
+	timer := time.NewTimer(min(taken, time.Until(deadline)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return forwarder.ErrCancelled
+	case <-timer.C:
+	}
+	if !time.Now().Before(deadline) {
+		return forwarder.ErrTimeout
+	}
+	return nil
+}
+
+// lot draws from a random source that goroutines share.
+type lot struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (l *lot) isBelow(part float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64() < part
+}
+
+func (l *lot) exponential(mean time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.random.ExpFloat64() * float64(mean))
+}
