A further try that is refused does not hide that the first has run

Callers saw: 503 with not-run "true" for an idempotent request that an upstream had run and answered with an error, or whose outcome was lost, when its further try then found full queues; an answer that was there was thrown away. Cause: the outcome of the last try was the outcome of the call. The same beside a hedge: a refused first try hid that the second had run. Now what an upstream may have run is kept while further tries are made, and stands unless one of them runs as well.

--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -181,7 +181,7 @@
 	}
 	other := <-h.outcome
 	j.count(&other)
-	if isGood(&other, h.resp) {
+	if isGood(&other, h.resp) || (isNotRun(&outcome) && !isNotRun(&other)) {
 		h.resp.CopyTo(resp)
 		return other
 	}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -45,6 +45,7 @@
 func (d *Dispatcher) run(ctx context.Context, call *Call, j *Journey, req *fasthttp.Request, resp *fasthttp.Response) *refuser.Refusal {
 	d.Retries.Earn(call.Neighbour)
 	var outcome carrier.Outcome
+	var ran kept
 	for {
 		choice, optional, ok := d.choose(call, j)
 		if !ok {
@@ -63,13 +64,46 @@
 			break
 		}
 		j.note(choice.Name, &outcome)
+		ran.keep(&outcome, resp)
 		d.Meter.Retried(reason)
 	}
+	ran.restore(&outcome, resp)
 	d.finish(call, &outcome, resp)
 	d.advise(call, outcome.Refusal)
 	return outcome.Refusal
 }
 
+// kept is how the last try ended that an upstream may have run, while further ones are made.
+type kept struct {
+	// answer is nil where nothing is kept.
+	answer  *fasthttp.Response
+	outcome carrier.Outcome
+}
+
+// keep takes the outcome of a try unless the try has certainly not run.
+func (k *kept) keep(outcome *carrier.Outcome, resp *fasthttp.Response) {
+	if isNotRun(outcome) {
+		return
+	}
+	k.outcome = *outcome
+	k.answer = &fasthttp.Response{}
+	resp.CopyTo(k.answer)
+}
+
+// restore puts what is kept in place of a further try that has not run: the caller must not be told that its
+// request has not.
+func (k *kept) restore(outcome *carrier.Outcome, resp *fasthttp.Response) {
+	if k.answer == nil || !isNotRun(outcome) {
+		return
+	}
+	*outcome = k.outcome
+	k.answer.CopyTo(resp)
+}
+
+func isNotRun(outcome *carrier.Outcome) bool {
+	return outcome.Refusal != nil && outcome.Refusal.IsNotRun()
+}
+
 const (
 	// minRetryAfter gives an upstream that is full the time to work its queue off.
 	minRetryAfter = 300 * time.Millisecond
@@ -168,7 +202,7 @@
 		return
 	}
 	j.Arrivals++
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() {
+	if !isNotRun(outcome) {
 		j.Runs++
 	}
 }
--- a/internal/relayer/repeats_test.go
+++ b/internal/relayer/repeats_test.go
@@ -220,7 +220,7 @@
 }
 
 // do is the upstream beside each node.
-func (r *repeatsRun) do(at *virtualNode, ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+func (r *repeatsRun) do(ctx context.Context, at *virtualNode, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
 	id := string(req.Header.Peek(headerTestRequest))
 	name := strings.Split(string(req.URI().Path()), "/")[1]
 	isRepeat := r.arrive(id, at.serves)
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -59,7 +59,7 @@
 	mu       sync.Mutex
 	members  map[string]*virtualNode
 	names    []string
-	upstream func(at *virtualNode, ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
+	upstream func(ctx context.Context, at *virtualNode, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
 }
 
 // virtualNode is one node of a virtual deployment with the upstream beside it.
@@ -209,7 +209,7 @@
 
 // Do implements executor.Upstream.
 func (v *virtualNode) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	return v.deployment.upstream(v, ctx, req, resp, deadline)
+	return v.deployment.upstream(ctx, v, req, resp, deadline)
 }
 
 // IsDown implements executor.Upstream.
