Bound repeats at the upstream, where they arrive, in a form that adds up over nodes

Cause: each entry counted the further tries of its own callers, out of a ratio and a share of the slack by its own view of the deployment's size. Calls below a further try were counted nowhere, though the promise counts them; shares and stocks of entries that knew few others added up to more than the whole. Now the node beside the upstream admits a repeat only within its part of the bound, over any window: ratio times the mean of two counts of first arrivals, and a share of the slack. A mean adds up over nodes where the maximum does not; restarts and views of the size can cost at most the reserve. Why this works: every arrival passes that node. A repeat over the bound is refused as not run, before it queues; the outcome of the first try stands.

--- /dev/null
+++ b/internal/budgeter/repeats_test.go
@@ -0,0 +1,121 @@
+package budgeter
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+)
+
+// handClock is a clock that a test sets.
+type handClock struct {
+	timekeeper.System
+	now time.Time
+}
+
+// Now implements timekeeper.Clock.
+func (c *handClock) Now() time.Time { return c.now }
+
+const (
+	testRatio  = 0.2
+	testSlack  = 20.0
+	testWindow = 10 * time.Second
+)
+
+func newTestRepeats(clock timekeeper.Clock, upstreams int) *Repeats {
+	return NewRepeats(clock, func() RepeatLimits {
+		return RepeatLimits{Ratio: testRatio, Share: testSlack / float64(upstreams), Window: testWindow}
+	})
+}
+
+// count returns how many times lie in the window that begins at from.
+func count(times []time.Time, from time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(times, from.Add(testWindow), time.Time.Compare)
+	return last - first
+}
+
+// TestRepeatsOfAllUpstreamsTogether guards against inc1: upstreams that keep bounds of their own, and together
+// get more repeats in some window than the service may. Load moves between upstreams, comes in bursts after
+// quiet times and arrives late, and nodes are started again.
+func TestRepeatsOfAllUpstreamsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &handClock{now: time.Unix(1000, 0)}
+		upstreams := rapid.IntRange(1, 6).Draw(t, "upstreams")
+		var all []*Repeats
+		for range upstreams {
+			all = append(all, newTestRepeats(clock, upstreams))
+		}
+		var firsts, repeats []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			pause := rapid.SampledFrom([]time.Duration{0, 10, 90, 500, 2500, 5000, 9990, 30000}).Draw(t, "pause")
+			clock.now = clock.now.Add(pause * time.Millisecond)
+			i := rapid.IntRange(0, upstreams-1).Draw(t, "upstream")
+			switch rapid.SampledFrom([]string{"firsts", "repeats", "repeats", "start"}).Draw(t, "what") {
+			case "firsts":
+				late := time.Duration(rapid.IntRange(0, 800).Draw(t, "late")) * time.Millisecond
+				for range rapid.IntRange(1, 150).Draw(t, "firsts") {
+					all[i].First(clock.now.Add(-late))
+					firsts = append(firsts, clock.now.Add(-late))
+				}
+			case "repeats":
+				for range rapid.IntRange(1, 60).Draw(t, "repeats") {
+					if all[i].Take(1) {
+						repeats = append(repeats, clock.now)
+					}
+				}
+			case "start":
+				all[i] = newTestRepeats(clock, upstreams)
+			}
+		}
+		slices.SortFunc(firsts, time.Time.Compare)
+		for _, from := range repeats {
+			requests := max(count(firsts, from), count(firsts, from.Add(-testWindow/2)), count(firsts, from.Add(-testWindow)))
+			allowed := testRatio*float64(requests) + testSlack
+			if got := count(repeats, from); float64(got) > allowed {
+				t.Fatalf("%d repeats in the window from %v on, for %d requests; allowed %.0f", got, from, requests, allowed)
+			}
+		}
+	})
+}
+
+// TestRepeatsAtASteadyRate checks that the ratio is open while requests come evenly, but for a span of each half
+// window.
+func TestRepeatsAtASteadyRate(t *testing.T) {
+	clock := &handClock{now: time.Unix(1000, 0)}
+	repeats := NewRepeats(clock, func() RepeatLimits { return RepeatLimits{Ratio: testRatio, Window: testWindow} })
+	const (
+		rate    = 100
+		seconds = 60
+		warm    = 10
+	)
+	taken := 0
+	for i := range rate * seconds {
+		clock.now = clock.now.Add(time.Second / rate)
+		repeats.First(clock.now)
+		if repeats.Take(1) && i >= rate*warm {
+			taken++
+		}
+	}
+	if least := (1 - 1.0/halfSpans) * testRatio * rate * (seconds - warm); float64(taken) < least {
+		t.Errorf("%d repeats for %d requests, want at least %.0f", taken, rate*(seconds-warm), least)
+	}
+}
+
+// TestRepeatThatDidNotArrive checks that what is taken back is open again.
+func TestRepeatThatDidNotArrive(t *testing.T) {
+	clock := &handClock{now: time.Unix(1000, 0)}
+	repeats := newTestRepeats(clock, int(testSlack))
+	repeats.Allows(1)
+	clock.now = clock.now.Add(testWindow)
+	if !repeats.Take(1) || repeats.Take(1) {
+		t.Fatal("the share is not one repeat")
+	}
+	repeats.UndoTake(clock.now)
+	if !repeats.Take(1) {
+		t.Error("a repeat that did not arrive still counts")
+	}
+}
--- a/internal/budgeter/retry.go
+++ b/internal/budgeter/retry.go
@@ -3,14 +3,12 @@
 
 import "sync"
 
-const (
-	retryBurst = 10.0
-)
+// retryBurst is how many retries a node can save for a neighbour.
+const retryBurst = 10.0
 
 // Retries allows a bounded number of retries for each neighbour's first tries. It is safe for
 // concurrent use.
 type Retries struct {
-	burst  func() float64
 	mu     sync.Mutex
 	ratio  func(neighbour string) float64
 	tokens map[string]float64
@@ -18,20 +16,15 @@
 
 // NewRetries returns a budget that earns ratio(neighbour) retries for each first try.
 func NewRetries(ratio func(neighbour string) float64) *Retries {
-	return NewRetriesWithBurst(ratio, func() float64 { return retryBurst })
-}
-
-// NewRetriesWithBurst returns a budget that saves up to burst() retries.
-func NewRetriesWithBurst(ratio func(neighbour string) float64, burst func() float64) *Retries {
-	return &Retries{burst: burst, ratio: ratio, tokens: make(map[string]float64)}
+	return &Retries{ratio: ratio, tokens: make(map[string]float64)}
 }
 
 // Earn books a first try of the neighbour.
 func (r *Retries) Earn(neighbour string) {
-	ratio, burst := r.ratio(neighbour), r.burst()
+	ratio := r.ratio(neighbour)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tokens[neighbour] = min(r.tokens[neighbour]+ratio, burst)
+	r.tokens[neighbour] = min(r.tokens[neighbour]+ratio, retryBurst)
 }
 
 // Refund gives back a retry that reached no upstream.
--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -47,6 +47,8 @@
 
 // Attempt is one try to run a caller's request at one node.
 type Attempt struct {
+	// Age is the time since the caller's request came to its entry node.
+	Age time.Duration `cbor:"21,keyasint,omitempty"`
 	// Caller is the service on the VM where the call began.
 	Caller string `cbor:"1,keyasint,omitempty"`
 	// Call identifies the caller's request over all of its attempts.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,6 +28,8 @@
 	maxDepth        = 16
 	// maxHandBacks is how often a request may be handed back before a node has to keep it.
 	maxHandBacks = 3
+	// maxOverBudget is how many further nodes are asked where one takes no more repeats.
+	maxOverBudget = 1
 	// maxRefusals is how many full queues a call is offered to whose caller can't come back.
 	maxRefusals = 3
 	// maxTries bounds the tries that reach no upstream.
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -11,6 +11,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/quantiler"
+	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 )
 
 const (
@@ -238,7 +239,7 @@
 			d.Hedged(h.call, h.target, target.Name, reason)
 		}
 		outcome = d.try(h.ctx, h.call, target.Member, d.hedgeAttempt(h.call), h.req, h.resp)
-		if outcome.Reached() || !isHandBack(&outcome) {
+		if outcome.Reached() || !(isHandBack(&outcome) || isRefusedAs(&outcome, refuser.ReasonRetryBudget)) {
 			break
 		}
 	}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -26,6 +26,9 @@
 	Load    float64
 	LoadAge time.Duration
 	Slow    bool
+	// OverBudget is the number of nodes that took no further try because their upstream has had as many
+	// repeats as it may.
+	OverBudget int
 	// Refusals is the number of nodes that had no room in their queue.
 	Refusals int
 	// Runs is the number of tries that an upstream may have run.
@@ -60,6 +63,9 @@
 		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
 		j.count(&outcome)
 		reason, again := d.again(call, j, &outcome, resp)
+		if !again && isRefusedAs(&outcome, refuser.ReasonRetryBudget) {
+			d.notRetried(call, j.Target, meter.RetryRefusalUpstream)
+		}
 		if !again || !d.mayRetry(call, j, &outcome) {
 			break
 		}
@@ -189,9 +195,12 @@
 		j.HandBacks++
 		j.busy = append(j.busy, target)
 	case !isConnectionFault(outcome):
-		if outcome.Refusal != nil && outcome.Refusal.Reason == refuser.ReasonQueueFull {
+		if isRefusedAs(outcome, refuser.ReasonQueueFull) {
 			j.Refusals++
 		}
+		if isRefusedAs(outcome, refuser.ReasonRetryBudget) {
+			j.OverBudget++
+		}
 		j.failed = append(j.failed, target)
 	}
 }
@@ -208,7 +217,11 @@
 }
 
 func isHandBack(outcome *carrier.Outcome) bool {
-	return outcome.Refusal != nil && outcome.Refusal.Reason == refuser.ReasonBusy
+	return isRefusedAs(outcome, refuser.ReasonBusy)
+}
+
+func isRefusedAs(outcome *carrier.Outcome, reason refuser.Reason) bool {
+	return outcome.Refusal != nil && outcome.Refusal.Reason == reason
 }
 
 func noUpstream() *refuser.Refusal {
@@ -218,6 +231,7 @@
 // attempt returns the next attempt of the call.
 func (d *Dispatcher) attempt(call *Call, j *Journey, optional bool) carrier.Attempt {
 	return carrier.Attempt{
+		Age:        d.Clock.Now().Sub(call.Started),
 		Call:       call.ID,
 		Caller:     call.Caller,
 		Chain:      call.Chain,
@@ -267,7 +281,7 @@
 	}
 	switch outcome.Refusal.Reason {
 	case refuser.ReasonBusy, refuser.ReasonCancelled, refuser.ReasonDeadline, refuser.ReasonPoison,
-		refuser.ReasonQuarantined, refuser.ReasonQueueFull:
+		refuser.ReasonQuarantined, refuser.ReasonQueueFull, refuser.ReasonRetryBudget:
 		return false
 	default:
 		return true
@@ -301,6 +315,8 @@
 		return meter.RetryHandedBack, true
 	case refusal.Reason == refuser.ReasonQueueFull && j.Refusals < maxRefusals && !d.canComeBack(call):
 		return meter.RetryNotRun, true
+	case refusal.Reason == refuser.ReasonRetryBudget:
+		return meter.RetryElsewhere, j.OverBudget < maxOverBudget
 	case refusal.IsNotRun():
 		return meter.RetryNotRun, isLocalRefusal(refusal.Reason)
 	default:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,6 +86,9 @@
 	Deadline time.Time
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
+
+	// began is when the caller's request came to its entry node, in this node's clock.
+	began time.Time
 }
 
 // usefulUntil returns until when a start leads to an answer in time, for an attempt that arrived at the
@@ -110,8 +113,10 @@
 	OnDown      func(instance string)
 	Quarantiner *quarantiner.Quarantiner
 	Recorder    *recorder.Recorder
-	Sender      Sender
-	Siblings    Siblings
+	// Repeats bounds what the upstream gets of repeats.
+	Repeats  *budgeter.Repeats
+	Sender   Sender
+	Siblings Siblings
 	// Stamp marks a request with the context that the upstream passes on to calls of its own.
 	Stamp    func(a *carrier.Attempt, req *fasthttp.Request, instance string, deadline time.Time)
 	Upstream Upstream
@@ -290,6 +295,7 @@
 // execution's response.
 func (e *Executor) Execute(ctx context.Context, x *Execution) carrier.Outcome {
 	started := e.Clock.Now()
+	x.began = started.Add(-x.Attempt.Age)
 	if refusal := e.preclude(x); refusal != nil {
 		outcome := e.refused(refusal)
 		e.tellAttempted(x, &outcome, started)
@@ -362,6 +368,9 @@
 	if refusal := e.quarantine(x); refusal != nil {
 		return refusal
 	}
+	if refusal := e.overRepeats(x); refusal != nil {
+		return refusal
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if x.Attempt.Grant != 0 {
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -39,6 +39,11 @@
 		e.release(w)
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
 	}
+	undo, refusal := e.bookArrival(x)
+	if refusal != nil {
+		e.withdrawRun(x, w)
+		return carrier.Outcome{Refusal: refusal}
+	}
 	if !x.Attempt.Idempotent {
 		// What has begun to run is finished, so that its outcome can be asked for.
 		ctx = context.WithoutCancel(ctx)
@@ -53,6 +58,8 @@
 	outcome := carrier.Outcome{Arrived: !errors.Is(err, forwarder.ErrNotSent), Used: used}
 	if outcome.Arrived {
 		e.Meter.Arrived(x.Attempt.Service, x.Attempt.Try.String())
+	} else {
+		undo()
 	}
 	if err != nil {
 		outcome.Refusal = e.explain(ctx, begun.instance, err)
@@ -113,6 +120,14 @@
 	return beginning{instance: e.announcement.Instance, running: e.schedule.Running(), steady: e.isSteady()}, true
 }
 
+// withdrawRun frees the slot of an attempt that is not sent to the upstream after all.
+func (e *Executor) withdrawRun(x *Execution, w *scheduler.Waiter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.inFlight, x)
+	e.schedule.Release(e.Clock.Now(), w)
+}
+
 // leave frees the slot and teaches the limit.
 func (e *Executor) leave(x *Execution, w *scheduler.Waiter, sample limiter.Sample) {
 	e.mu.Lock()
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -85,10 +85,11 @@
 	a.HandedOn = true
 	a.Grant = binding.Grant
 	outcome := e.Sender.Send(ctx, to, a, x.Request, x.Response, x.Deadline)
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() || outcome.Refusal.Reason == refuser.ReasonPoison {
+	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() {
 		return outcome, true
 	}
-	return outcome, false
+	reason := outcome.Refusal.Reason
+	return outcome, reason == refuser.ReasonPoison || reason == refuser.ReasonRetryBudget
 }
 
 // ReserveRequest asks a sibling to pull from Home when it frees a slot.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,6 +16,8 @@
 
 // The reasons for which an attempt is made again.
 const (
+	// RetryElsewhere is for one that a node did not take because its upstream has had as many repeats as it may.
+	RetryElsewhere  RetryReason = "over-upstream-budget"
 	RetryFailed     RetryReason = "idempotent-failed"
 	RetryHandedBack RetryReason = "handed-back"
 	RetryHedge      RetryReason = "hedge"
@@ -32,6 +34,8 @@
 	RetryRefusalDeadline RetryRefusal = "deadline"
 	RetryRefusalNested   RetryRefusal = "spent-below"
 	RetryRefusalTries    RetryRefusal = "tries"
+	// RetryRefusalUpstream is for one that no node asked could take within its upstream's bound on repeats.
+	RetryRefusalUpstream RetryRefusal = "upstream-budget"
 )
 
 // Meter holds the metrics of one node. It is safe for concurrent use.
@@ -48,10 +52,10 @@
 	for _, reason := range refuser.Reasons() {
 		m.refusals(reason)
 	}
-	for _, reason := range []RetryReason{RetryFailed, RetryHandedBack, RetryHedge, RetryNotRun, RetrySlow} {
+	for _, reason := range []RetryReason{RetryElsewhere, RetryFailed, RetryHandedBack, RetryHedge, RetryNotRun, RetrySlow} {
 		m.retries(reason)
 	}
-	for _, reason := range []RetryRefusal{RetryRefusalBudget, RetryRefusalDeadline, RetryRefusalNested, RetryRefusalTries} {
+	for _, reason := range []RetryRefusal{RetryRefusalBudget, RetryRefusalDeadline, RetryRefusalNested, RetryRefusalTries, RetryRefusalUpstream} {
 		m.retryRefusals(reason)
 	}
 	return m
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -31,6 +31,7 @@
 	ReasonQueueFull      Reason = "queue-full"
 	ReasonBadRequest     Reason = "bad-request"
 	ReasonRequestTimeout Reason = "request-timeout"
+	ReasonRetryBudget    Reason = "retry-budget"
 	ReasonShed           Reason = "shed"
 	ReasonUnauthorized   Reason = "unauthorized"
 	ReasonUpstreamFailed Reason = "upstream-failed"
@@ -43,7 +44,7 @@
 		ReasonBadRequest, ReasonBodyTooLarge, ReasonBusy, ReasonCancelled, ReasonDeadline, ReasonDraining,
 		ReasonHeaderTooLarge, ReasonKeyReused, ReasonNoDocument, ReasonNoRoute, ReasonNoUpstream,
 		ReasonOutcomeUnknown, ReasonPoison, ReasonQuarantined, ReasonQueueFull, ReasonRequestTimeout,
-		ReasonShed, ReasonUnauthorized, ReasonUpstreamFailed, ReasonUpstreamLost,
+		ReasonRetryBudget, ReasonShed, ReasonUnauthorized, ReasonUpstreamFailed, ReasonUpstreamLost,
 	}
 }
 
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -86,6 +86,7 @@
 	register        *register
 	registrar       *registrar.Registrar
 	router          *router.Router
+	sharers         *sharers
 	upstream        *localUpstream
 	// callers is nil on a node that takes no callers' requests.
 	callers     *listener.Listener
@@ -117,6 +118,7 @@
 		logs:      logs,
 		log:       logger.NewPart(logs, "node"),
 		meter:     meter.New(),
+		sharers:   &sharers{clock: timekeeper.System{}},
 		tracker:   conntracker.New(),
 	}
 	n.journal = newJournal(n.clock, n.settings.LogLines, n.log, n.meter)
@@ -216,6 +218,7 @@
 		OnDown:      func(instance string) { n.registrar.Down(instance) },
 		Quarantiner: n.quarantiner,
 		Recorder:    n.recorder,
+		Repeats:     budgeter.NewRepeats(n.clock, n.repeatLimits),
 		Sender:      n.carrier,
 		Siblings:    &siblings{Router: n.router, gossiper: n.gossiper},
 		Stamp: func(a *carrier.Attempt, req *fasthttp.Request, instance string, deadline time.Time) {
@@ -241,7 +244,7 @@
 			return carrier.OpenContext(n.secrets.Key, req)
 		},
 		Runs:    n.executor,
-		Retries: budgeter.NewRetriesWithBurst(n.retryRatio, n.retryBurst),
+		Retries: budgeter.NewRetries(n.retryRatio),
 		Self:    n.settings.Name,
 		Sender:  &nearSender{carrier: n.carrier, executor: n.executor, self: n.settings.Name},
 		Targets: &targets{Router: n.router, node: n},
--- /dev/null
+++ b/internal/relayer/repeatlimits.go
@@ -0,0 +1,63 @@
+package relayer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+)
+
+const (
+	// ratioPart and slackPart are the parts of the document's bound on repeats that nodes use. The rest is for
+	// what they see later than callers and upstreams do, and for the shares of nodes that are cut off.
+	ratioPart = 0.85
+	slackPart = 0.75
+	// minSharers bounds the share of a node that knows hardly any other.
+	minSharers = 4
+	// defaultRepeatWindow and defaultShare hold where the document sets no bound for all nodes together.
+	defaultRepeatWindow = 10 * time.Second
+	defaultShare        = 10
+)
+
+// repeatLimits returns what the upstream beside the node may get of repeats.
+func (n *Node) repeatLimits() budgeter.RepeatLimits {
+	document := n.current()
+	if document == nil {
+		return budgeter.RepeatLimits{Window: defaultRepeatWindow}
+	}
+	service := n.service()
+	limits := budgeter.RepeatLimits{
+		Ratio: ratioPart * document.RetryRatioOf(service), Share: defaultShare, Window: document.Budgets.RetryWindow.Std(),
+	}
+	if limits.Window == 0 {
+		limits.Window = defaultRepeatWindow
+	}
+	if slack := document.Budgets.RetrySlack; slack > 0 {
+		sharers := n.sharers.count(len(n.router.Members(service)), limits.Window)
+		limits.Share = slackPart * slack / float64(max(sharers, minSharers))
+	}
+	return limits
+}
+
+// sharers is the number of nodes that share the slack of a service: the most that were there at once within a
+// window or two, since one that has gone may have used its share just before.
+type sharers struct {
+	clock timekeeper.Clock
+
+	mu      sync.Mutex
+	before  int
+	most    int
+	rotated time.Time
+}
+
+// count takes the number of nodes that are there now and returns the number that share.
+func (s *sharers) count(now int, window time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := s.clock.Now(); at.Sub(s.rotated) >= window {
+		s.before, s.most, s.rotated = s.most, 0, at
+	}
+	s.most = max(s.most, now)
+	return max(s.before, s.most)
+}
--- a/internal/validator/document.go
+++ b/internal/validator/document.go
@@ -137,6 +137,22 @@
 	return found.Neighbour
 }
 
+// RetryRatioOf returns the number of retries that the service's neighbour allows for each first try.
+func (d *Document) RetryRatioOf(service string) float64 {
+	found, _ := d.ServiceNamed(service)
+	return d.RatioOf(found.Neighbour)
+}
+
+// RatioOf returns the retry ratio of a neighbour, or zero for one that is not there.
+func (d *Document) RatioOf(neighbour string) float64 {
+	for i := range d.Neighbours {
+		if d.Neighbours[i].Name == neighbour {
+			return d.Neighbours[i].RetryRatio
+		}
+	}
+	return 0
+}
+
 // Duration is a time.Duration written as a string such as "250ms".
 type Duration time.Duration
 
