A request whose call has failed for good is not run again, on the platform too

Cause: that a failure below is not tried again above went by the signed context that upstreams pass on to their calls. Those of the platform pass nothing on, so that the parent of a call was not known. It is known now by the id of the request.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -211,6 +211,7 @@
 	}
 	if parent, ok := d.Runs.Find(inherited.Call, said.Parent); ok {
 		call.BelowFurther = parent.Try != carrier.TryFirst
+		call.Parent = parent.Call
 	}
 	if call.Depth > maxDepth {
 		return call, refuser.New(refuser.ReasonBadRequest, "calls are nested too deeply")
--- a/internal/relayer/repeats_test.go
+++ b/internal/relayer/repeats_test.go
@@ -346,3 +346,13 @@
 	skipper.KnownRed(t)
 	playRepeats(t, "load-that-moves").check(t)
 }
+
+// TestFailureBelowIsNotTriedAgainAbove guards against inc1's amplification: a request whose call had failed for
+// good was run again, though its upstream passes no context on to its calls.
+func TestFailureBelowIsNotTriedAgainAbove(t *testing.T) {
+	r := playRepeats(t, "calls-that-fail")
+	r.check(t)
+	if got := len(r.repeats["booking"]); got > 0 {
+		t.Errorf("%d runs of %d requests were made again in vain", got, r.sent["date-lookup"])
+	}
+}
