Answers without end are cut off at what one answer may have

Callers saw (in the test): nothing until their deadline, while the node read on and on. Cause: interim answers were read without a bound, extensions of chunks were skipped without one, and bytes behind a whole answer stayed on a kept connection. Health answers could have 16 MiB. Now each answer may have twice the largest body and 1 MiB, whatever it is made of, 8 interim answers, and a connection with bytes behind its answer is closed. The refusal is outcome unknown, since the upstream may have run the request.

--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -179,6 +179,8 @@
 		return refuser.Unknown(refuser.ReasonCancelled, "the caller went away")
 	case errors.Is(err, forwarder.ErrForeign):
 		return refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream's answer belongs to another request or is not its own")
+	case errors.Is(err, forwarder.ErrTooLong):
+		return refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream's answer is too long")
 	case errors.Is(err, forwarder.ErrUnframed):
 		return refuser.Unknown(refuser.ReasonUpstreamFailed, "the upstream's answer has no length")
 	default:
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -16,21 +17,41 @@
 	// keepAlive is how long the connection may be idle as the other end says; zero where it does not.
 	keepAlive time.Duration
 	opened    time.Time
-	reader    *bufio.Reader
-	used      time.Time
-	writer    *bufio.Writer
+	// limit is what reader reads from.
+	limit  *limitedReader
+	reader *bufio.Reader
+	used   time.Time
+	writer *bufio.Writer
 }
 
 func newConn(raw net.Conn, now time.Time) *conn {
+	limit := &limitedReader{source: raw}
 	return &conn{
 		Conn:   raw,
+		limit:  limit,
 		opened: now,
-		reader: bufio.NewReaderSize(raw, bufferBytes),
+		reader: bufio.NewReaderSize(limit, bufferBytes),
 		used:   now,
 		writer: bufio.NewWriterSize(raw, bufferBytes),
 	}
 }
 
+// limitedReader reads up to a number of bytes. It bounds all of an answer, also what its reader skips.
+type limitedReader struct {
+	left   int
+	source io.Reader
+}
+
+// Read implements io.Reader. It returns ErrTooLong when the bytes are used up.
+func (r *limitedReader) Read(buffer []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // isClean reports whether an idle connection can carry a request: the peer has not closed it and
 // nothing unread is left on it.
 func (c *conn) isClean() bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	ErrNotSent   = merry.Sentinel("not sent")
 	ErrOverdue   = merry.Sentinel("answer overdue")
 	ErrTimeout   = merry.Sentinel("deadline passed")
+	ErrTooLong   = merry.Sentinel("answer too long")
 	ErrUnframed  = merry.Sentinel("answer without a length")
 )
 
@@ -39,12 +40,19 @@
 	DefaultMaxIdle     = 256
 	DefaultMaxIdleTime = 4 * time.Second
 	DefaultMaxBody     = 16 << 20
+	// ShortMaxBody suits the answers of health and load endpoints.
+	ShortMaxBody = 64 << 10
 )
 
 // Lengths that the HTTP library reports for bodies without a length.
 const (
 	// maxForeign bounds how many answers are read in search of the own.
 	maxForeign = 3
+	// maxInterim bounds the interim answers before one.
+	maxInterim = 8
+	// maxOverhead is what an answer may have beside its body: its head, and the framing of a body in chunks as
+	// long as that is no longer than the body.
+	maxOverhead = 1 << 20
 	// chunkedLength is that of a body in chunks.
 	chunkedLength = -1
 	// unframedLength is that of a body that only the end of the stream bounds.
@@ -150,7 +158,7 @@
 		_ = c.Close()
 		return p.classify(ctx, err)
 	}
-	if x.Fresh || x.Response.ConnectionClose() || ctx.Err() != nil {
+	if x.Fresh || x.Response.ConnectionClose() || ctx.Err() != nil || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return nil
 	}
@@ -178,6 +186,7 @@
 }
 
 func (p *Pool) exchange(c *conn, x *Exchange, now time.Time) error {
+	c.limit.left = 2*p.maxBody + maxOverhead
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		return err
 	}
@@ -213,13 +222,8 @@
 
 func (p *Pool) readOne(c *conn, x *Exchange) error {
 	header := &x.Response.Header
-	for {
-		if err := header.Read(c.reader); err != nil {
-			return err
-		}
-		if header.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
+	if err := readFinalHeader(c, header); err != nil {
+		return err
 	}
 	x.Response.SkipBody = x.Request.Header.IsHead() || hasNoBody(header.StatusCode())
 	if x.Response.SkipBody {
@@ -238,6 +242,19 @@
 	return nil
 }
 
+// readFinalHeader reads the header of an answer and skips those of interim ones before it.
+func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
+	for range maxInterim {
+		if err := header.Read(c.reader); err != nil {
+			return err
+		}
+		if header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return ErrTooLong
+}
+
 // hasNoBody reports whether answers with the status never have a body (RFC 9110, section 6.4.1).
 func hasNoBody(status int) bool {
 	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
@@ -269,9 +286,12 @@
 }
 
 func (p *Pool) classify(ctx context.Context, err error) error {
+	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case ctx.Err() != nil:
 		return fmt.Errorf("%w: %s", ErrCancelled, p.address)
+	case errors.Is(err, ErrTooLong), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+		return fmt.Errorf("%w: %s", ErrTooLong, p.address)
 	case errors.Is(err, ErrOverdue), errors.Is(err, ErrUnframed), errors.Is(err, ErrForeign):
 		return fmt.Errorf("%s: %w", p.address, err)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
--- a/internal/hintreader/hintreader.go
+++ b/internal/hintreader/hintreader.go
@@ -77,7 +77,7 @@
 	if err != nil || seen.Announcement.State == announcer.StateGone {
 		return
 	}
-	pool := forwarder.New(address, r.clock)
+	pool := forwarder.New(address, r.clock, forwarder.WithMaxBody(forwarder.ShortMaxBody))
 	hints := Hints{Healthy: true, Running: -1}
 	if path := seen.Announcement.HealthPath; path != "" {
 		status, _, err := r.get(ctx, pool, path)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -133,7 +133,7 @@
 			p.pool.Close()
 		}
 		p.address = subject.Address
-		p.pool = forwarder.New(subject.Address, p.clock)
+		p.pool = forwarder.New(subject.Address, p.clock, forwarder.WithMaxBody(forwarder.ShortMaxBody))
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
