Tell nodes that start later of the requests that crash upstreams

Callers saw (in the test): one more upstream lost with each node that is started while a barred request still comes. Now a node that sees another of its service start tells it the crashes that its suspicions rest on, with their age: a bar ends when it would have ended at the first node.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -36,6 +36,8 @@
 
 // Crash names one crash of one upstream.
 type Crash struct {
+	// Age is how long ago it was when it is told.
+	Age          time.Duration `json:"age,omitempty"`
 	Fingerprints []Fingerprint `json:"fingerprints"`
 	// Instance is the upstream's instance that crashed.
 	Instance string `json:"instance"`
@@ -49,9 +51,11 @@
 }
 
 type suspect struct {
-	barred   bool
-	expires  time.Time
-	upstream map[string]struct{}
+	barred  bool
+	expires time.Time
+	service string
+	// upstreams holds when each upstream's instance crashed.
+	upstreams map[string]time.Time
 }
 
 // Quarantiner counts the crashes that each fingerprint was part of. It is safe for concurrent use.
@@ -84,20 +88,57 @@
 			if len(q.suspects) >= maxSuspects {
 				return
 			}
-			s = &suspect{upstream: make(map[string]struct{})}
+			s = &suspect{service: crash.Service, upstreams: make(map[string]time.Time)}
 			q.suspects[fingerprint] = s
 		}
-		s.upstream[crash.Instance] = struct{}{}
-		s.expires = now.Add(suspectTime)
-		if len(s.upstream) < convictions {
-			continue
-		}
+		q.note(fingerprint, s, &crash, now)
+	}
+}
+
+// note adds a crash to those of a suspect. It is called with mu held.
+func (q *Quarantiner) note(fingerprint Fingerprint, s *suspect, crash *Crash, now time.Time) {
+	at := now.Add(-crash.Age)
+	if _, ok := s.upstreams[crash.Instance]; !ok {
+		s.upstreams[crash.Instance] = at
+	}
+	lasts := suspectTime
+	if len(s.upstreams) >= convictions {
+		lasts = barTime
 		if !s.barred && q.onBar != nil {
-			q.onBar(fingerprint, len(s.upstream), barTime)
+			q.onBar(fingerprint, len(s.upstreams), barTime)
 		}
 		s.barred = true
-		s.expires = now.Add(barTime)
 	}
+	if until := at.Add(lasts); until.After(s.expires) {
+		s.expires = until
+	}
+}
+
+// Known returns the crashes of a service that suspicions and bars rest on, one for each upstream's instance.
+func (q *Quarantiner) Known(service string) []Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	q.expire(now)
+	byInstance := make(map[string]*Crash)
+	for fingerprint, s := range q.suspects {
+		if s.service != service {
+			continue
+		}
+		for instance, at := range s.upstreams {
+			crash, ok := byInstance[instance]
+			if !ok {
+				crash = &Crash{Age: now.Sub(at), Instance: instance, Service: service}
+				byInstance[instance] = crash
+			}
+			crash.Fingerprints = append(crash.Fingerprints, fingerprint)
+		}
+	}
+	var known []Crash
+	for _, crash := range byInstance {
+		known = append(known, *crash)
+	}
+	return known
 }
 
 // Clear ends the suspicion of a fingerprint whose request ran without a crash. A barred one stays
--- a/internal/relayer/duties.go
+++ b/internal/relayer/duties.go
@@ -52,6 +52,7 @@
 	n.duty(func() { every(ctx, arrivalInterval, n.tellArrivals()) })
 	n.duty(func() { n.syncMembers(ctx) })
 	n.duty(func() { n.pullDocuments(ctx) })
+	n.duty(func() { n.tellNewcomers(ctx) })
 	n.duty(func() { n.learn(ctx) })
 	n.log.Info("Started.", "callers", n.settings.CallerAddress, "admin", n.settings.AdminAddress)
 	return nil
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -81,6 +81,7 @@
 	membershipBytes *budgeter.Bytes
 	messenger       *messenger.Messenger
 	meter           *meter.Meter
+	newcomers       chan gossiper.Member
 	quarantiner     *quarantiner.Quarantiner
 	recorder        *recorder.Recorder
 	register        *register
@@ -118,6 +119,7 @@
 		logs:      logs,
 		log:       logger.NewPart(logs, "node"),
 		meter:     meter.New(),
+		newcomers: make(chan gossiper.Member, newcomersKept),
 		sharers:   &sharers{clock: timekeeper.System{}},
 		tracker:   conntracker.New(),
 	}
@@ -316,6 +318,7 @@
 // MemberChanged implements gossiper.Observer.
 func (n *Node) MemberChanged(m gossiper.Member) {
 	n.router.Update(m)
+	n.noteNewcomer(m)
 	n.journal.write(m.Status == gossiper.StatusAlive, "A member changed.", "member", m.Name, "status", m.Status,
 		"incarnation", m.Incarnation, "sequence", m.Sequence, "service", m.Service, "upstream", m.Upstream)
 }
--- a/internal/relayer/poison_test.go
+++ b/internal/relayer/poison_test.go
@@ -7,11 +7,58 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/demonstrator"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/responder"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
+// askPoison sends a request, which crashes the upstream that runs it if poison is true, and returns the status.
+func askPoison(t *testing.T, pool *forwarder.Pool, path string, poison bool) int {
+	t.Helper()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI(path)
+	req.Header.SetHost("test")
+	req.Header.Set(responder.HeaderID, "x")
+	if poison {
+		req.Header.Set(responder.HeaderCrash, "1")
+	}
+	err := pool.Do(t.Context(), &forwarder.Exchange{Deadline: time.Now().Add(5 * time.Second), Request: req, Response: resp})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode()
+}
+
+// TestNodeThatStartsLaterKnowsBarredRequests guards against a request that crashes one more upstream with each node
+// that is started, because bars were told only to the nodes that were there.
+func TestNodeThatStartsLaterKnowsBarredRequests(t *testing.T) {
+	behaviour := responder.Behaviour{Service: 5 * time.Millisecond, Slots: 12, Steady: true}
+	r := newRig(t, 3, behaviour)
+	pool := forwarder.New(r.entry.Settings.CallerAddress, timekeeper.System{})
+	defer pool.Close()
+	for range 10 {
+		askPoison(t, pool, "/entries/poison", true)
+		time.Sleep(50 * time.Millisecond)
+	}
+	later := addStation(t, r.Deployment, demonstrator.Place{Behaviour: behaviour, DataCentre: "flacq", Name: "later", Service: "entries"})
+	serves := func() bool {
+		m, ok := r.entry.Node.Member("later")
+		return ok && m.IsServing()
+	}
+	for waited := 0; !serves() && waited < 500; waited++ {
+		time.Sleep(20 * time.Millisecond)
+	}
+	// Within the time for which the users' rule lets such a request pass.
+	time.Sleep(time.Second)
+	for range 40 {
+		askPoison(t, pool, "/entries/poison", true)
+	}
+	if later.Upstream.HasCrashed() {
+		t.Error("the upstream of a node that was started later has crashed")
+	}
+}
+
 // TestPoisonRequest repeats a request that crashes each upstream that runs it, among innocent
 // requests that are in flight at the crashes and are repeated as well.
 func TestPoisonRequest(t *testing.T) {
@@ -19,20 +66,7 @@
 	r := newRig(t, targets, responder.Behaviour{Service: 100 * time.Millisecond, Slots: 12, Steady: true})
 	pool := forwarder.New(r.entry.Settings.CallerAddress, timekeeper.System{})
 	defer pool.Close()
-	ask := func(path string, poison bool) int {
-		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-		req.SetRequestURI(path)
-		req.Header.SetHost("test")
-		req.Header.Set(responder.HeaderID, "x")
-		if poison {
-			req.Header.Set(responder.HeaderCrash, "1")
-		}
-		err := pool.Do(t.Context(), &forwarder.Exchange{Deadline: time.Now().Add(5 * time.Second), Request: req, Response: resp})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return resp.StatusCode()
-	}
+	ask := func(path string, poison bool) int { return askPoison(t, pool, path, poison) }
 	crashed := func() (count int) {
 		for _, station := range r.Stations()[1:] {
 			if station.Upstream.HasCrashed() {
