Read through the bound on repeats: one file a type, restart with the service, tries in the lines

The ledger starts anew when another service takes the upstream's place; calls of repeats earn nothing at the entry; lines tell the try and how many nodes were over their bound.

--- a/internal/budgeter/repeats.go
+++ b/internal/budgeter/repeats.go
@@ -54,6 +54,13 @@
 	return &Repeats{clock: clock, limits: limits}
 }
 
+// Restart forgets all that came, as for a new process. It is called when the upstream serves another service.
+func (r *Repeats) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restart(r.clock.Now(), r.window)
+}
+
 // First books a first arrival of a request that began at the given time.
 func (r *Repeats) First(began time.Time) {
 	r.book(began, repeatSpan{firsts: 1})
@@ -144,8 +151,7 @@
 // It is called with mu held.
 func (r *Repeats) advance(now time.Time, window time.Duration) {
 	if window != r.window {
-		r.began, r.last, r.window = now, 0, window
-		clear(r.spans[:])
+		r.restart(now, window)
 	}
 	newest := r.number(now)
 	r.last = max(r.last, newest-keptSpans)
@@ -155,6 +161,11 @@
 	}
 }
 
+func (r *Repeats) restart(now time.Time, window time.Duration) {
+	r.began, r.last, r.window = now, 0, window
+	clear(r.spans[:])
+}
+
 // number returns the number of the span in which a time lies.
 func (r *Repeats) number(at time.Time) int {
 	if r.window == 0 {
--- a/internal/budgeter/repeats_test.go
+++ b/internal/budgeter/repeats_test.go
@@ -54,7 +54,7 @@
 			pause := rapid.SampledFrom([]time.Duration{0, 10, 90, 500, 2500, 5000, 9990, 30000}).Draw(t, "pause")
 			clock.now = clock.now.Add(pause * time.Millisecond)
 			i := rapid.IntRange(0, upstreams-1).Draw(t, "upstream")
-			switch rapid.SampledFrom([]string{"firsts", "repeats", "repeats", "start"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"firsts", "repeats", "repeats", "start", "restart"}).Draw(t, "what") {
 			case "firsts":
 				late := time.Duration(rapid.IntRange(0, 800).Draw(t, "late")) * time.Millisecond
 				for range rapid.IntRange(1, 150).Draw(t, "firsts") {
@@ -69,6 +69,8 @@
 				}
 			case "start":
 				all[i] = newTestRepeats(clock, upstreams)
+			case "restart":
+				all[i].Restart()
 			}
 		}
 		slices.SortFunc(firsts, time.Time.Compare)
@@ -119,3 +121,12 @@
 		t.Error("a repeat that did not arrive still counts")
 	}
 }
+
+// BenchmarkRepeats books first arrivals and repeats in a full window.
+func BenchmarkRepeats(b *testing.B) {
+	repeats := newTestRepeats(timekeeper.System{}, 4)
+	for b.Loop() {
+		repeats.First(time.Now())
+		repeats.Take(1)
+	}
+}
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -212,11 +212,6 @@
 	return true
 }
 
-// hedgeAttempt returns the second try beside a first one, whether or not that has arrived yet.
-func (d *Dispatcher) hedgeAttempt(call *Call) carrier.Attempt {
-	return d.attempt(call, &Journey{Arrivals: 1, HandBacks: 1}, true)
-}
-
 // runHedge makes the second try if the budget allows and a target takes it at once.
 func (d *Dispatcher) runHedge(h *hedge, reason meter.RetryReason) {
 	if !d.Retries.Spend(h.call.Neighbour) {
@@ -238,7 +233,9 @@
 		if d.Hedged != nil {
 			d.Hedged(h.call, h.target, target.Name, reason)
 		}
-		outcome = d.try(h.ctx, h.call, target.Member, d.hedgeAttempt(h.call), h.req, h.resp)
+		// The first try may have arrived.
+		attempt := d.newAttempt(h.call, h.call.tryAfter(1), true, true)
+		outcome = d.try(h.ctx, h.call, target.Member, attempt, h.req, h.resp)
 		if outcome.Reached() || !(isHandBack(&outcome) || isRefusedAs(&outcome, refuser.ReasonRetryBudget)) {
 			break
 		}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -46,7 +46,9 @@
 
 // run makes tries until one is final.
 func (d *Dispatcher) run(ctx context.Context, call *Call, j *Journey, req *fasthttp.Request, resp *fasthttp.Response) *refuser.Refusal {
-	d.Retries.Earn(call.Neighbour)
+	if !call.BelowFurther {
+		d.Retries.Earn(call.Neighbour)
+	}
 	var outcome carrier.Outcome
 	var ran kept
 	for {
@@ -228,15 +230,19 @@
 	return refuser.Later(refuser.ReasonNoUpstream, noUpstreamRetry, "no server of the service is ready")
 }
 
-// attempt returns the next attempt of the call.
+// attempt returns the next attempt of the call on its journey.
 func (d *Dispatcher) attempt(call *Call, j *Journey, optional bool) carrier.Attempt {
+	return d.newAttempt(call, call.tryAfter(j.Arrivals), optional, j.HandBacks > 0)
+}
+
+func (d *Dispatcher) newAttempt(call *Call, try carrier.Try, optional, handedOn bool) carrier.Attempt {
 	return carrier.Attempt{
 		Age:        d.Clock.Now().Sub(call.Started),
 		Call:       call.ID,
 		Caller:     call.Caller,
 		Chain:      call.Chain,
 		Depth:      call.Depth,
-		HandedOn:   j.HandBacks > 0,
+		HandedOn:   handedOn,
 		Idempotent: call.Idempotent,
 		Key:        call.Key,
 		Neighbour:  call.Neighbour,
@@ -245,7 +251,7 @@
 		Relaxed:    d.need(call).Relaxed,
 		Request:    call.Request,
 		Service:    call.Service,
-		Try:        call.tryAfter(j.Arrivals),
+		Try:        try,
 		Useful:     d.useful(call),
 	}
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -190,6 +190,7 @@
 	if a.Service != old.Service {
 		e.schedule.Flush(refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced"))
 		e.limit = limiter.New(1)
+		e.Repeats.Restart()
 	}
 	e.limit.SetSlots(max(1, a.Slots))
 	if a.Instance != old.Instance || (a.State == announcer.StateReady && old.State != announcer.StateReady) {
--- a/internal/executor/repeat.go
+++ b/internal/executor/repeat.go
@@ -11,29 +11,21 @@
 	// belowPart is the part of the bound on repeats that may be in use when a call below a further try comes:
 	// a further try of a call saves a run, and costs one arrival; a further run costs all of its calls.
 	belowPart = 0.5
-	// leastPart is the part of the bound that may be in use when a further try of the least urgent rank comes.
-	leastPart = 0.6
 	// repeatPause is when a repeat over the bound is worth another try.
 	repeatPause = 100 * time.Millisecond
 )
 
-// repeatPart returns the part of the bound on repeats that is open to the attempt: the more urgent its rank,
-// the more.
-func (e *Executor) repeatPart(x *Execution) float64 {
-	part := 1.0
-	if document := e.document.Load(); document != nil && len(document.Ranks) > 1 {
-		rank, _ := document.RankIndex(x.Attempt.Rank)
-		part -= (1 - leastPart) * float64(rank) / float64(len(document.Ranks)-1)
+// repeatPart returns the part of the bound on repeats that is open to an attempt.
+func repeatPart(try carrier.Try) float64 {
+	if try == carrier.TryBelowFurther {
+		return belowPart
 	}
-	if x.Attempt.Try == carrier.TryBelowFurther {
-		return min(part, belowPart)
-	}
-	return part
+	return 1
 }
 
 // overRepeats returns the refusal of a repeat for which there is no room now, or nil.
 func (e *Executor) overRepeats(x *Execution) *refuser.Refusal {
-	if x.Attempt.Try == carrier.TryFirst || e.Repeats.Allows(e.repeatPart(x)) {
+	if x.Attempt.Try == carrier.TryFirst || e.Repeats.Allows(repeatPart(x.Attempt.Try)) {
 		return nil
 	}
 	return overRepeats()
@@ -51,7 +43,7 @@
 		return func() { e.Repeats.UndoFirst(x.began) }, nil
 	}
 	now := e.Clock.Now()
-	if !e.Repeats.Take(e.repeatPart(x)) {
+	if !e.Repeats.Take(repeatPart(x.Attempt.Try)) {
 		return nil, overRepeats()
 	}
 	return func() { e.Repeats.UndoTake(now) }, nil
--- a/internal/relayer/journal.go
+++ b/internal/relayer/journal.go
@@ -84,7 +84,7 @@
 	}
 	line := []any{
 		"request", call.Request, "call", call.ID, "route", call.Route, "service", call.Service, "rank", call.Rank,
-		"target", j.Target, "tries", j.Tries, "arrivals", j.Arrivals, "hand-backs", j.HandBacks, "hedged", j.Hedged,
+		"target", j.Target, "tries", j.Tries, "arrivals", j.Arrivals, "hand-backs", j.HandBacks, "over-budget", j.OverBudget, "hedged", j.Hedged,
 		"believed-load", j.Load, "believed-slow", j.Slow, "load-age", j.LoadAge,
 		"took", took, "left", call.Deadline.Sub(n.clock.Now()), "version", n.documentVersion(),
 	}
@@ -182,7 +182,7 @@
 		return
 	}
 	line := []any{
-		"request", x.Attempt.Request, "call", x.Attempt.Call, "sender", x.Attempt.Sender, "sequence", x.Attempt.Sequence,
+		"request", x.Attempt.Request, "call", x.Attempt.Call, "try", x.Attempt.Try, "sender", x.Attempt.Sender, "sequence", x.Attempt.Sequence,
 		"instance", seen.Instance, "running", seen.Running, "queued", seen.Queued, "slowdown", seen.Slowdown,
 		"load-age", seen.LoadAge, "took", seen.Took, "used", outcome.Used, "optional", x.Attempt.Optional,
 		"arrived", outcome.Arrived,
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -120,10 +120,10 @@
 		log:       logger.NewPart(logs, "node"),
 		meter:     meter.New(),
 		newcomers: make(chan gossiper.Member, newcomersKept),
-		sharers:   &sharers{clock: timekeeper.System{}},
 		tracker:   conntracker.New(),
 	}
 	n.journal = newJournal(n.clock, n.settings.LogLines, n.log, n.meter)
+	n.sharers = newSharers(n.clock)
 	n.interpreter = interpreter.Native{}
 	n.parse = validator.Parse
 	n.policy = router.Weighted{}
--- a/internal/relayer/repeatlimits.go
+++ b/internal/relayer/repeatlimits.go
@@ -1,11 +1,9 @@
 package relayer
 
 import (
-	"sync"
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
-	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 const (
@@ -40,24 +38,11 @@
 	return limits
 }
 
-// sharers is the number of nodes that share the slack of a service: the most that were there at once within a
-// window or two, since one that has gone may have used its share just before.
-type sharers struct {
-	clock timekeeper.Clock
-
-	mu      sync.Mutex
-	before  int
-	most    int
-	rotated time.Time
-}
-
-// count takes the number of nodes that are there now and returns the number that share.
-func (s *sharers) count(now int, window time.Duration) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at := s.clock.Now(); at.Sub(s.rotated) >= window {
-		s.before, s.most, s.rotated = s.most, 0, at
+// retryRatio returns the retries that a neighbour allows for each first try.
+func (n *Node) retryRatio(neighbour string) float64 {
+	current := n.current()
+	if current == nil {
+		return 0
 	}
-	s.most = max(s.most, now)
-	return max(s.before, s.most)
+	return current.RatioOf(neighbour)
 }
