One copy of the questions on an outcome; arrivals count nodes without copying them

Read through once more: whether an attempt has certainly not run, and why it was refused, was asked in three places of two packages and is asked of the outcome now; router.Size had no caller left; each arrival copied all member records of the service only to count them; looking for a call's parent took the executor's lock also where no id was given.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -235,6 +235,16 @@
 	return o.Arrived || o.Lost
 }
 
+// IsNotRun reports whether the attempt has certainly not run.
+func (o *Outcome) IsNotRun() bool {
+	return o.Refusal != nil && o.Refusal.IsNotRun()
+}
+
+// IsRefusedAs reports whether the attempt was refused for the reason.
+func (o *Outcome) IsRefusedAs(reason refuser.Reason) bool {
+	return o.Refusal != nil && o.Refusal.Reason == reason
+}
+
 // unseal reads the outcome from a peer's answer and removes the headers between nodes from it. It
 // reports false when the answer belongs to another attempt.
 func unseal(a *Attempt, resp *fasthttp.Response) (Outcome, bool) {
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -11,7 +11,6 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/quantiler"
-	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 )
 
 const (
@@ -182,7 +181,7 @@
 	}
 	other := <-h.outcome
 	j.count(&other)
-	if isGood(&other, h.resp) || (isNotRun(&outcome) && !isNotRun(&other)) {
+	if isGood(&other, h.resp) || (outcome.IsNotRun() && !other.IsNotRun()) {
 		h.resp.CopyTo(resp)
 		return other
 	}
@@ -236,7 +235,7 @@
 		// The first try may have arrived.
 		attempt := d.newAttempt(h.call, h.call.tryAfter(1), true, true)
 		outcome = d.try(h.ctx, h.call, target.Member, attempt, h.req, h.resp)
-		if outcome.Reached() || !(isHandBack(&outcome) || isRefusedAs(&outcome, refuser.ReasonRetryBudget)) {
+		if !isHandBack(&outcome) && !isOverBudget(&outcome) {
 			break
 		}
 	}
--- a/internal/dispatcher/journey.go
+++ b/internal/dispatcher/journey.go
@@ -65,7 +65,7 @@
 		outcome = d.tryHedged(ctx, call, j, choice.Member, optional, req, resp)
 		j.count(&outcome)
 		reason, again := d.again(call, j, &outcome, resp)
-		if !again && isRefusedAs(&outcome, refuser.ReasonRetryBudget) {
+		if !again && isOverBudget(&outcome) {
 			d.notRetried(call, j.Target, meter.RetryRefusalUpstream)
 		}
 		if !again || !d.mayRetry(call, j, &outcome) {
@@ -90,7 +90,7 @@
 
 // keep takes the outcome of a try unless the try has certainly not run.
 func (k *kept) keep(outcome *carrier.Outcome, resp *fasthttp.Response) {
-	if isNotRun(outcome) {
+	if outcome.IsNotRun() {
 		return
 	}
 	k.outcome = *outcome
@@ -101,17 +101,13 @@
 // restore puts what is kept in place of a further try that has not run: the caller must not be told that its
 // request has not.
 func (k *kept) restore(outcome *carrier.Outcome, resp *fasthttp.Response) {
-	if k.answer == nil || !isNotRun(outcome) {
+	if k.answer == nil || !outcome.IsNotRun() {
 		return
 	}
 	*outcome = k.outcome
 	k.answer.CopyTo(resp)
 }
 
-func isNotRun(outcome *carrier.Outcome) bool {
-	return outcome.Refusal != nil && outcome.Refusal.IsNotRun()
-}
-
 const (
 	// minRetryAfter gives an upstream that is full the time to work its queue off.
 	minRetryAfter = 300 * time.Millisecond
@@ -197,10 +193,10 @@
 		j.HandBacks++
 		j.busy = append(j.busy, target)
 	case !isConnectionFault(outcome):
-		if isRefusedAs(outcome, refuser.ReasonQueueFull) {
+		if outcome.IsRefusedAs(refuser.ReasonQueueFull) {
 			j.Refusals++
 		}
-		if isRefusedAs(outcome, refuser.ReasonRetryBudget) {
+		if isOverBudget(outcome) {
 			j.OverBudget++
 		}
 		j.failed = append(j.failed, target)
@@ -213,17 +209,18 @@
 		return
 	}
 	j.Arrivals++
-	if !isNotRun(outcome) {
+	if !outcome.IsNotRun() {
 		j.Runs++
 	}
 }
 
 func isHandBack(outcome *carrier.Outcome) bool {
-	return isRefusedAs(outcome, refuser.ReasonBusy)
+	return outcome.IsRefusedAs(refuser.ReasonBusy)
 }
 
-func isRefusedAs(outcome *carrier.Outcome, reason refuser.Reason) bool {
-	return outcome.Refusal != nil && outcome.Refusal.Reason == reason
+// isOverBudget reports whether a node took no further try because its upstream has had as many repeats as it may.
+func isOverBudget(outcome *carrier.Outcome) bool {
+	return outcome.IsRefusedAs(refuser.ReasonRetryBudget)
 }
 
 func noUpstream() *refuser.Refusal {
@@ -297,8 +294,7 @@
 // isConnectionFault reports whether the attempt never reached the target although the target is
 // well: the connection was lost or went silent, and the target has barred the attempt since.
 func isConnectionFault(outcome *carrier.Outcome) bool {
-	refusal := outcome.Refusal
-	return refusal != nil && refusal.IsNotRun() && refusal.Reason == refuser.ReasonUpstreamLost
+	return outcome.IsNotRun() && outcome.IsRefusedAs(refuser.ReasonUpstreamLost)
 }
 
 func isErrorAnswer(resp *fasthttp.Response) bool {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -451,7 +451,7 @@
 	a := x.Attempt
 	a.HandedOn = true
 	outcome := e.Sender.Send(ctx, sibling, a, x.Request, x.Response, x.Deadline)
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() {
+	if !outcome.IsNotRun() || outcome.Reached() {
 		return outcome, true
 	}
 	// A sibling that is full has judged the wait; one that can't be reached or leaves has not.
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -235,6 +235,9 @@
 // Find returns the attempt that the upstream runs for a call, by the call's id or by the one that its
 // caller gave it. Empty ids match nothing.
 func (e *Executor) Find(call, request string) (carrier.Attempt, bool) {
+	if call == "" && request == "" {
+		return carrier.Attempt{}, false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for x := range e.inFlight {
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -85,11 +85,10 @@
 	a.HandedOn = true
 	a.Grant = binding.Grant
 	outcome := e.Sender.Send(ctx, to, a, x.Request, x.Response, x.Deadline)
-	if outcome.Refusal == nil || !outcome.Refusal.IsNotRun() || outcome.Reached() {
+	if !outcome.IsNotRun() || outcome.Reached() {
 		return outcome, true
 	}
-	reason := outcome.Refusal.Reason
-	return outcome, reason == refuser.ReasonPoison || reason == refuser.ReasonRetryBudget
+	return outcome, outcome.IsRefusedAs(refuser.ReasonPoison) || outcome.IsRefusedAs(refuser.ReasonRetryBudget)
 }
 
 // ReserveRequest asks a sibling to pull from Home when it frees a slot.
--- a/internal/relayer/repeatlimits.go
+++ b/internal/relayer/repeatlimits.go
@@ -32,7 +32,7 @@
 		limits.Window = defaultRepeatWindow
 	}
 	if slack := document.Budgets.RetrySlack; slack > 0 {
-		sharers := n.sharers.count(len(n.router.Members(service)), limits.Window)
+		sharers := n.sharers.count(n.router.Count(service), limits.Window)
 		limits.Share = slackPart * slack / float64(max(sharers, minSharers))
 	}
 	return limits
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -279,15 +279,11 @@
 	return members
 }
 
-// Size returns the number of live targets with an upstream.
-func (r *Router) Size() int {
+// Count returns the number of nodes of the service that can be sent requests.
+func (r *Router) Count(service string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	size := 0
-	for _, listed := range r.services {
-		size += len(listed)
-	}
-	return size
+	return len(r.services[service])
 }
 
 // Sent books a call that was sent to the target.
