Start requests only at the upstream's usual speed

Cause: on a VM that is slow for half a second at a time, a run that starts in the slow period takes 7 times its work to its end, and one that started before is not affected. Idle nodes did not probe, so the report was old just where slots were free. Second sends began when a target turned slow, for requests that were not late, and used up the bound on repeats; the calls of second sends were then refused, so 28 of 59 late browses had a second send that ended 500 for that reason.

Change: the node probes its upstream before a start unless a report is at most 10 ms old; concurrent starts share a probe, and a probe that is late pauses probes for 250 ms. What can't be handed back waits in the queue for the end of the slow period, for about as long as it would lose by starting (ski rental). Background probes fall from 40 to 5 a second while requests run. The notion of calls that tolerate a slow upstream is gone, as are second sends on a report of slowness.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -72,8 +72,6 @@
 	// can start it at once on an upstream that has its usual speed.
 	Optional bool   `cbor:"11,keyasint,omitempty"`
 	Rank     string `cbor:"12,keyasint,omitempty"`
-	// ToleratesSlow is true if the response will be in time even if the upstream is slow for a short period.
-	ToleratesSlow bool `cbor:"13,keyasint,omitempty"`
 	// RequestID is the request id that the caller set, or empty.
 	RequestID string `cbor:"14,keyasint,omitempty"`
 	// Sender and Sequence identify the attempt.
--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -135,22 +135,17 @@
 func (d *Dispatcher) pickTarget(call *Call, p *CallProgress) (choice router.Choice, optional, ok bool) {
 	if p.HandBacks < maxHandBacks {
 		exclude := append(append([]string(nil), p.excluded...), p.handedBack...)
-		if choice, ok := d.Targets.Pick(d.need(call), exclude); ok && (choice.Responsive || p.AttemptCount == 0) {
+		if choice, ok := d.Targets.Pick(call.need(), exclude); ok && (choice.Responsive || p.AttemptCount == 0) {
 			return choice, choice.Alternatives > 0 || len(p.handedBack) > 0, true
 		}
 	}
-	choice, ok = d.Targets.Pick(d.need(call), p.excluded)
+	choice, ok = d.Targets.Pick(call.need(), p.excluded)
 	return choice, false, ok
 }
 
-// maxSlowPeriod is how long an upstream on a shared VM can stay slow: two periods of half a second.
-const maxSlowPeriod = time.Second
-
 // need returns what the call requires of its target.
-func (d *Dispatcher) need(call *Call) router.Need {
-	serviceTime := d.latencies.forCall(call).serviceTime.Value()
-	slack := call.TargetLatency - d.Clock.Now().Sub(call.Started) - serviceTime
-	return router.Need{ToleratesSlow: serviceTime > 0 && slack > maxSlowPeriod, Service: call.Service, TargetLatency: call.TargetLatency}
+func (c *Call) need() router.Need {
+	return router.Need{Service: c.Service, TargetLatency: c.TargetLatency}
 }
 
 // lateWaitFactor limits the wait of a call whose caller has no time to retry, in target latencies. A later
@@ -240,22 +235,21 @@
 
 func (d *Dispatcher) newAttempt(call *Call, try carrier.Try, optional, handedOff bool) carrier.Attempt {
 	return carrier.Attempt{
-		Age:           d.Clock.Now().Sub(call.Started),
-		Call:          call.ID,
-		Caller:        call.Caller,
-		RootCall:      call.RootCall,
-		Depth:         call.Depth,
-		HandedOff:     handedOff,
-		Idempotent:    call.Idempotent,
-		Key:           call.Key,
-		Neighbour:     call.Neighbour,
-		Optional:      optional,
-		Rank:          call.Rank,
-		ToleratesSlow: d.need(call).ToleratesSlow,
-		RequestID:     call.RequestID,
-		Service:       call.Service,
-		Try:           try,
-		UsefulWait:    d.usefulWait(call),
+		Age:        d.Clock.Now().Sub(call.Started),
+		Call:       call.ID,
+		Caller:     call.Caller,
+		RootCall:   call.RootCall,
+		Depth:      call.Depth,
+		HandedOff:  handedOff,
+		Idempotent: call.Idempotent,
+		Key:        call.Key,
+		Neighbour:  call.Neighbour,
+		Optional:   optional,
+		Rank:       call.Rank,
+		RequestID:  call.RequestID,
+		Service:    call.Service,
+		Try:        try,
+		UsefulWait: d.usefulWait(call),
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,12 +42,10 @@
 	noUpstreamRetry = 300 * time.Millisecond
 )
 
-// Targets picks the nodes that attempts are sent to and records outcomes and load reports of these nodes.
+// Targets picks the nodes that attempts are sent to and records outcomes of these nodes.
 type Targets interface {
 	// RecordCallEnd records the outcome of an attempt. failed is true if it counts against the node.
 	RecordCallEnd(name string, load carrier.Load, failed bool)
-	// ObserveLoad records a load report of a node. It reports whether the node's upstream has become slow.
-	ObserveLoad(name string, load carrier.Load) bool
 	// MarkOverdue records that a response of the node is overdue.
 	MarkOverdue(name string)
 	// Pick chooses a node that is not in exclude. It reports false if there is none.
@@ -121,7 +119,7 @@
 	// OnFinished, if not nil, is called with each call that has ended and its outcome.
 	OnFinished func(call *Call, progress *CallProgress, resp *fasthttp.Response, refusal *refuser.Refusal)
 	// OnHedge, if not nil, is called before each hedge is sent, with the targets of both attempts.
-	OnHedge     func(call *Call, first, second string, reason meter.RetryReason)
+	OnHedge     func(call *Call, first, second string)
 	Interpreter Interpreter
 	Meter       *meter.Meter
 	// Name is the prefix of call ids.
@@ -150,7 +148,6 @@
 	Config
 
 	callSequence atomic.Uint64
-	hedges       pendingHedges
 	latencies    latencyEstimates
 	table        atomic.Pointer[routingTable]
 }
--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -65,7 +65,7 @@
 	return estimate
 }
 
-// hedge is a second attempt that starts if the first is overdue or if its upstream has become slow.
+// hedge is a second attempt that starts if the first is overdue.
 type hedge struct {
 	call    *Call
 	exclude []string
@@ -83,57 +83,6 @@
 	started   bool
 }
 
-// pendingHedges holds the hedges of running first attempts, keyed by the node of the first attempt.
-type pendingHedges struct {
-	mu       sync.Mutex
-	byTarget map[string]map[*hedge]struct{}
-}
-
-func (h *pendingHedges) add(entry *hedge) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.byTarget == nil {
-		h.byTarget = make(map[string]map[*hedge]struct{})
-	}
-	if h.byTarget[entry.firstTarget] == nil {
-		h.byTarget[entry.firstTarget] = make(map[*hedge]struct{})
-	}
-	h.byTarget[entry.firstTarget][entry] = struct{}{}
-}
-
-func (h *pendingHedges) remove(entry *hedge) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.byTarget[entry.firstTarget], entry)
-	if len(h.byTarget[entry.firstTarget]) == 0 {
-		delete(h.byTarget, entry.firstTarget)
-	}
-}
-
-func (h *pendingHedges) forTarget(target string) []*hedge {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var pending []*hedge
-	for entry := range h.byTarget[target] {
-		pending = append(pending, entry)
-	}
-	return pending
-}
-
-// HandleLoadReport records a node's report of the load of its upstream. If the upstream has become slow, the calls that
-// wait for it are hedged.
-func (d *Dispatcher) HandleLoadReport(target string, load carrier.Load) {
-	if !d.Targets.ObserveLoad(target, load) {
-		return
-	}
-	for _, h := range d.hedges.forTarget(target) {
-		// A call that tolerates a slow upstream can wait until it recovers; its timer still starts a hedge.
-		if !d.need(h.call).ToleratesSlow {
-			go d.runHedge(h, meter.RetrySlow)
-		}
-	}
-}
-
 // hedgeDelay returns the time after which the first attempt of a call is overdue: the high latency quantile of
 // its route, or less if a hedge would otherwise miss the target latency. While there are too few samples it
 // returns the target latency, or zero if the route sets none.
@@ -150,8 +99,7 @@
 	return min(high, max(latestStart, time.Duration(minHedgeDelayFactor*float64(median))))
 }
 
-// sendHedged sends an attempt, and a hedge to another target if the first attempt is overdue or its upstream
-// becomes slow. The first successful response wins and the other attempt is cancelled.
+// sendHedged sends an attempt, and a hedge to another target if the first attempt is overdue. The first successful response wins and the other attempt is cancelled.
 func (d *Dispatcher) sendHedged(ctx context.Context, call *Call, p *CallProgress, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	// Nested calls are not hedged, because the hedges of each level would multiply.
 	if !call.Idempotent || call.Depth > 0 || p.Runs+1 >= call.Attempts {
@@ -167,12 +115,10 @@
 		cancelFirst: cancelFirst, firstTarget: target.Name,
 	}
 	req.CopyTo(h.req)
-	d.hedges.add(h)
-	defer d.hedges.remove(h)
 	if delay := d.hedgeDelay(call); delay > 0 {
 		timer := d.Clock.AfterFunc(max(delay, minHedgeDelay), func() {
 			d.Targets.MarkOverdue(h.firstTarget)
-			d.runHedge(h, meter.RetryHedge)
+			d.runHedge(h)
 		})
 		defer timer.Stop()
 	}
@@ -220,7 +166,7 @@
 // runHedge sends the hedge if the retry budget allows it. The attempt is optional, so that a target takes it only if
 // it can start it at once. If a target hands it back, or refuses it because of its upstream's limit on repeats,
 // runHedge picks another one, up to maxHedgeAttempts.
-func (d *Dispatcher) runHedge(h *hedge, reason meter.RetryReason) {
+func (d *Dispatcher) runHedge(h *hedge) {
 	if !d.Retries.Spend(h.call.Neighbour) {
 		d.reportRetryRefused(h.call, h.firstTarget, meter.RetryRefusalBudget)
 		return
@@ -231,14 +177,14 @@
 	}
 	var outcome carrier.Outcome
 	for range maxHedgeAttempts {
-		target, ok := d.Targets.Pick(d.need(h.call), h.exclude)
+		target, ok := d.Targets.Pick(h.call.need(), h.exclude)
 		if !ok {
 			outcome.Refusal = noUpstreamRefusal()
 			break
 		}
 		h.exclude = append(h.exclude, target.Name)
 		if d.OnHedge != nil {
-			d.OnHedge(h.call, h.firstTarget, target.Name, reason)
+			d.OnHedge(h.call, h.firstTarget, target.Name)
 		}
 		// The first attempt may have reached an upstream, so the hedge counts as a retry.
 		attempt := d.newAttempt(h.call, h.call.tryFor(1), true, true)
@@ -248,7 +194,7 @@
 		}
 	}
 	if outcome.Reached() {
-		d.Meter.Retried(reason)
+		d.Meter.Retried(meter.RetryHedge)
 	} else {
 		d.Retries.Refund(h.call.Neighbour)
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -118,8 +118,10 @@
 	Bytes *budgeter.Bytes
 	Clock timekeeper.Clock
 	Links Links
-	Meter *meter.Meter
-	Name  string
+	// LoadProber asks the upstream for its load before a request starts, if the last load report is too old.
+	LoadProber LoadProber
+	Meter      *meter.Meter
+	Name       string
 	// OnUpstreamDown is called with the upstream's instance when its process is gone.
 	OnUpstreamDown func(instance string)
 	Quarantiner    *quarantiner.Quarantiner
@@ -245,6 +247,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
+	e.updateSlowPeriod(now)
 	e.schedule.Sweep(now)
 	for call, expires := range e.retrySpent {
 		if now.After(expires) {
@@ -437,11 +440,12 @@
 	if x.Attempt.Grant != 0 {
 		return e.runGranted(ctx, x)
 	}
+	e.refreshLoad(ctx)
 	now := e.Clock.Now()
 	w := scheduler.NewWaiter(now, e.class(x), x.Deadline)
 	w.UsefulUntil = x.usefulUntil(now)
 	e.mu.Lock()
-	if x.Attempt.Optional && !e.canStartPromptly(x.Attempt.ToleratesSlow) {
+	if x.Attempt.Optional && !e.canStartPromptly() {
 		e.mu.Unlock()
 		e.Meter.Event("handed_back")
 		return carrier.Outcome{Refusal: refuser.NewWithRetryAfter(refuser.ReasonBusy, sweepInterval, "the upstream is full or slow and the sender has another")}
--- a/internal/executor/harness_test.go
+++ b/internal/executor/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/recorder"
@@ -53,6 +54,7 @@
 	*Executor
 	down           atomic.Bool
 	slowdown       atomic.Int64
+	reportsLoad    atomic.Bool
 	failFast       atomic.Bool
 	failedRequests atomic.Int64
 	group          *group
@@ -80,6 +82,7 @@
 			Bytes:          budgeter.NewBytes(clock, rate),
 			Clock:          clock,
 			Links:          m,
+			LoadProber:     m,
 			Meter:          meter.New(),
 			Name:           m.name,
 			OnUpstreamDown: func(string) {},
@@ -274,6 +277,13 @@
 	return nil
 }
 
+// ProbeLoad implements LoadProber.
+func (m *member) ProbeLoad(context.Context) {
+	if m.reportsLoad.Load() {
+		m.UpdateLoad(interpreter.Load{Slots: testSlots, Slowdown: float64(m.slowdown.Load())})
+	}
+}
+
 // IsDown implements Upstream.
 func (m *member) IsDown(context.Context, string) bool {
 	return m.down.Load()
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
@@ -10,34 +11,74 @@
 const (
 	// loadReportTTL is how long a load report of the upstream counts as current.
 	loadReportTTL = 150 * time.Millisecond
+	// maxStartReportAge is how old the load report may be on which a request is started. Older ones are replaced by a
+	// probe, because a request that starts while the VM is slow is slow to its end.
+	maxStartReportAge = 10 * time.Millisecond
 	// maxSteadySlowdown is the slowdown from which an upstream counts as slower than usual.
 	maxSteadySlowdown = 1.2
-	// slowStall is the mean extra time that a request takes at an upstream that has become slow.
-	slowStall = 200 * time.Millisecond
+	// minSlowPeriodLeft is how long a slow period that has just begun is expected to last.
+	minSlowPeriodLeft = 300 * time.Millisecond
 )
 
 // loadReport is the upstream's newest load report.
 type loadReport struct {
 	receivedAt time.Time
 	slowdown   float64
+	// slowSince is when the slow period began that the upstream is in, if it is slow.
+	slowSince time.Time
 }
 
-// UpdateLoad records a load report of the upstream. If the upstream is slow, the scheduler adds slowStall to the
-// expected waits at admission.
+// LoadProber asks the upstream for its load.
+type LoadProber interface {
+	// ProbeLoad asks the upstream for its load and passes the answer to UpdateLoad. It returns after that, or when the
+	// upstream has not answered promptly or ctx is done.
+	ProbeLoad(ctx context.Context)
+}
+
+// UpdateLoad records a load report of the upstream. While the upstream is slow, the scheduler holds requests back.
 func (e *Executor) UpdateLoad(load interpreter.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.load = loadReport{receivedAt: e.Clock.Now(), slowdown: load.Slowdown}
-	e.limit.SetReportsLoad()
-	stall := time.Duration(0)
+	now := e.Clock.Now()
+	slowSince := now
 	if e.isSlow() {
-		stall = slowStall
+		slowSince = e.load.slowSince
 	}
-	e.schedule.SetExpectedStall(stall)
+	e.load = loadReport{receivedAt: now, slowdown: load.Slowdown, slowSince: slowSince}
+	e.limit.SetReportsLoad()
+	e.updateSlowPeriod(now)
 	e.applyLimit()
 	e.notifyPeers()
 }
 
+// updateSlowPeriod tells the scheduler whether the upstream is slow, and for how long that is expected to last: for
+// minSlowPeriodLeft, or as long again as it has lasted. A request is then held for at most about the time that it would
+// lose by starting at once (the ski-rental rule). It is called with mu held.
+func (e *Executor) updateSlowPeriod(now time.Time) {
+	if !e.isSlow() {
+		e.schedule.SetSlowPeriod(now, 1, 0)
+		return
+	}
+	e.schedule.SetSlowPeriod(now, e.load.slowdown, max(minSlowPeriodLeft, now.Sub(e.load.slowSince)))
+}
+
+// refreshLoad probes the upstream if an attempt could start now but the last load report is too old to tell whether it
+// would be slow.
+func (e *Executor) refreshLoad(ctx context.Context) {
+	if e.needsLoadProbe() {
+		e.LoadProber.ProbeLoad(ctx)
+	}
+}
+
+func (e *Executor) needsLoadProbe() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.load.receivedAt.IsZero() || e.schedule.Running() >= e.schedule.Slots() {
+		return false
+	}
+	return e.Clock.Now().Sub(e.load.receivedAt) > maxStartReportAge
+}
+
 // AdoptSiblingLoad adopts the best number of slots that the node of another upstream of the same service has
 // learned. Loads without one and loads of other services are ignored.
 func (e *Executor) AdoptSiblingLoad(service string, load carrier.Load) {
@@ -53,21 +94,32 @@
 	e.applyLimit()
 }
 
-// LoadAge returns the age of the newest load report, whether any request is running at the upstream, and
-// whether this instance of it has reported its load at all.
-func (e *Executor) LoadAge() (age time.Duration, running, reportsLoad bool) {
+// LoadState is what the prober needs to know to decide when to ask the upstream for its load.
+type LoadState struct {
+	// Age is the age of the newest load report. IsReported is false if this instance has not reported its load at all.
+	Age        time.Duration
+	IsReported bool
+	// Queued and Running are true if requests are queued here or running at the upstream.
+	Queued  bool
+	Running bool
+	// Slow is true if the upstream counts as slow.
+	Slow bool
+}
+
+// LoadState returns the state of the upstream's load reports.
+func (e *Executor) LoadState() LoadState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.Clock.Now().Sub(e.load.receivedAt), len(e.inFlight) > 0, !e.load.receivedAt.IsZero()
+	return LoadState{
+		Age: e.Clock.Now().Sub(e.load.receivedAt), IsReported: !e.load.receivedAt.IsZero(),
+		Queued: e.schedule.Queued() > 0, Running: len(e.inFlight) > 0, Slow: e.isSlow(),
+	}
 }
 
-// canStartPromptly reports whether a request could start at once and, unless it tolerates a slow upstream, at
-// one that is not slow. It is called with mu held.
-func (e *Executor) canStartPromptly(toleratesSlow bool) bool {
-	if e.schedule.Queued() > 0 || e.schedule.Running() >= e.schedule.Slots() {
-		return false
-	}
-	return toleratesSlow || !e.isSlow()
+// canStartPromptly reports whether a request could start at once, at the upstream's usual speed. It is called with mu
+// held.
+func (e *Executor) canStartPromptly() bool {
+	return e.schedule.Queued() == 0 && e.schedule.Running() < e.schedule.Slots() && !e.isSlow()
 }
 
 // isSlow reports whether a current load report says that the upstream is slow. It is called with mu held.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -27,8 +27,6 @@
 	RetryHedge RetryReason = "hedge"
 	// RetryNotRun is the reason if the attempt did not run.
 	RetryNotRun RetryReason = "not-run"
-	// RetrySlow is the reason for a hedge because the first attempt's upstream has turned slow.
-	RetrySlow RetryReason = "slow-upstream"
 )
 
 // RetryRefusal is the reason for not making a retry or a hedge.
@@ -64,7 +62,7 @@
 	for _, reason := range refuser.Reasons() {
 		m.refusalCounter(reason)
 	}
-	for _, reason := range []RetryReason{RetryOverUpstreamBudget, RetryFailed, RetryHandedBack, RetryHedge, RetryNotRun, RetrySlow} {
+	for _, reason := range []RetryReason{RetryOverUpstreamBudget, RetryFailed, RetryHandedBack, RetryHedge, RetryNotRun} {
 		m.retryCounter(reason)
 	}
 	for _, reason := range []RetryRefusal{RetryRefusalBudget, RetryRefusalDeadline, RetryRefusalNested, RetryRefusalAttempts, RetryRefusalUpstreamBudget} {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -1,15 +1,18 @@
 // Package prober sends health requests to the node's local upstream, whose answers can also carry its load. It
-// probes when requests run at the upstream and no answer has reported the load recently, when the upstream has
-// never reported its load, and when the upstream is unknown or counts as down.
+// probes when a request is about to start and the known load is too old, while the upstream is slow, when it has never
+// reported its load, and when it is unknown or counts as down.
 package prober
 
 import (
 	"context"
+	"math"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
@@ -17,8 +20,12 @@
 )
 
 const (
-	// busyInterval is the largest age of the known load while requests run.
-	busyInterval = 25 * time.Millisecond
+	// heldInterval is the largest age of the known load while requests wait for the end of a slow period.
+	heldInterval = 25 * time.Millisecond
+	// slowInterval is the largest age of the known load while the upstream is slow and no request waits.
+	slowInterval = 50 * time.Millisecond
+	// runningInterval is the largest age of the known load while requests run at the usual speed.
+	runningInterval = 200 * time.Millisecond
 	// discoveryInterval is the time between two probes of an upstream that is not known to be ready, and the
 	// pause after a probe that returned no load.
 	discoveryInterval = 250 * time.Millisecond
@@ -29,6 +36,8 @@
 	idleInterval = 100 * time.Millisecond
 	// probeTimeout is the deadline of one probe.
 	probeTimeout = 300 * time.Millisecond
+	// startProbeTimeout is how long a request that is about to start waits for a probe.
+	startProbeTimeout = 25 * time.Millisecond
 )
 
 // Target is what the node knows of its local upstream.
@@ -40,13 +49,9 @@
 	// Instance is empty if no process of the upstream is known.
 	Instance string
 	IsReady  bool
-	// LoadAge is the time since the upstream last reported its load.
-	LoadAge time.Duration
-	// Running is true while requests run at the upstream.
-	Running bool
+	// Load is the state of the upstream's load reports.
+	Load    executor.LoadState
 	Service string
-	// ReportsLoad is true if the upstream has reported its load before.
-	ReportsLoad bool
 }
 
 // Counter counts events by name.
@@ -70,15 +75,20 @@
 	Target() Target
 }
 
-// Prober probes one upstream. It is not safe for concurrent use.
+// Prober probes one upstream. It is safe for concurrent use.
 type Prober struct {
 	clock       timekeeper.Clock
 	counter     Counter
 	interpreter Interpreter
 	node        Node
 
+	mu      sync.Mutex
 	address netip.AddrPort
 	pool    *forwarder.Pool
+	// running is closed when the probe of ProbeLoad that is under way ends; nil if none is.
+	running chan struct{}
+	// pausedUntil is the time until which ProbeLoad sends no probe, because one got no prompt answer.
+	pausedUntil time.Time
 }
 
 // New returns a prober of the node's upstream. Run starts it.
@@ -93,6 +103,68 @@
 	}
 }
 
+// ProbeLoad implements executor.LoadProber. Concurrent calls share one probe. An upstream that has not answered within
+// startProbeTimeout is not probed again for discoveryInterval.
+func (p *Prober) ProbeLoad(ctx context.Context) {
+	running := p.startLoadProbe()
+	if running == nil {
+		return
+	}
+	expired := make(chan struct{})
+	timer := p.clock.AfterFunc(startProbeTimeout, func() { close(expired) })
+	defer timer.Stop()
+	select {
+	case <-running:
+	case <-ctx.Done():
+	case <-expired:
+		p.pause()
+	}
+}
+
+// startLoadProbe starts a probe in a goroutine of its own, unless one is under way. It returns a channel that is closed
+// when the probe has ended, or nil if probes are paused.
+func (p *Prober) startLoadProbe() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clock.Now().Before(p.pausedUntil) {
+		return nil
+	}
+	if p.running == nil {
+		done := make(chan struct{})
+		p.running = done
+		go p.runLoadProbe(done)
+	}
+	return p.running
+}
+
+func (p *Prober) runLoadProbe(done chan<- struct{}) {
+	target := p.node.Target()
+	if target.Address.IsValid() && target.HealthPath != "" && target.IsReady {
+		p.reportLoad(context.Background(), &target)
+	}
+	p.mu.Lock()
+	p.running = nil
+	p.mu.Unlock()
+	close(done)
+}
+
+func (p *Prober) pause() {
+	p.counter.Event("start_probes_late")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pausedUntil = p.clock.Now().Add(discoveryInterval)
+}
+
+// reportLoad probes the upstream and reports its load to the node. It returns false if the answer has no load.
+func (p *Prober) reportLoad(ctx context.Context, target *Target) bool {
+	answer, status := p.probe(ctx, target)
+	if status == 0 || !answer.HasLoad {
+		return false
+	}
+	p.node.Report(answer.Load)
+	return true
+}
+
 // probeIfNeeded probes the upstream if that is needed now, and returns the time until the next check.
 func (p *Prober) probeIfNeeded(ctx context.Context) time.Duration {
 	target := p.node.Target()
@@ -103,18 +175,27 @@
 		p.discover(ctx, &target)
 		return discoveryInterval
 	}
-	if !target.Running && target.ReportsLoad {
-		return idleInterval
-	}
-	if target.ReportsLoad && target.LoadAge < busyInterval {
-		return busyInterval - target.LoadAge
+	if left := maxLoadAge(&target.Load) - target.Load.Age; target.Load.IsReported && left > 0 {
+		return min(left, idleInterval)
 	}
-	answer, status := p.probe(ctx, &target)
-	if status == 0 || !answer.HasLoad {
+	if !p.reportLoad(ctx, &target) {
 		return discoveryInterval
 	}
-	p.node.Report(answer.Load)
-	return busyInterval
+	return heldInterval
+}
+
+// maxLoadAge returns the age of the last load report from which the upstream is probed in the background.
+func maxLoadAge(load *executor.LoadState) time.Duration {
+	switch {
+	case load.Slow && load.Queued:
+		return heldInterval
+	case load.Slow:
+		return slowInterval
+	case load.Running:
+		return runningInterval
+	default:
+		return math.MaxInt64
+	}
 }
 
 // discover probes an upstream that is not known to be ready. It reports the known process to the node, or any
@@ -138,20 +219,14 @@
 // probe sends a health request. It returns the answer and its HTTP status, or the status zero if there was no
 // answer.
 func (p *Prober) probe(ctx context.Context, target *Target) (interpreter.Answer, int) {
-	if p.pool == nil || p.address != target.Address {
-		if p.pool != nil {
-			p.pool.Close()
-		}
-		p.address = target.Address
-		p.pool = forwarder.New(target.Address, p.clock, forwarder.WithMaxBody(forwarder.ShortMaxBody))
-	}
+	pool := p.poolFor(target.Address)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(target.HealthPath)
 	req.Header.SetHost(target.Address.String())
 	p.counter.Event("probes")
-	err := p.pool.Do(ctx, &forwarder.Exchange{
+	err := pool.Do(ctx, &forwarder.Exchange{
 		Deadline: p.clock.Now().Add(probeTimeout), Request: req, Response: resp,
 	})
 	if err != nil {
@@ -160,3 +235,17 @@
 	}
 	return p.interpreter.ReadAnswer(&resp.Header), resp.StatusCode()
 }
+
+// poolFor returns the pool of connections to the address. It closes the pool of an earlier address.
+func (p *Prober) poolFor(address netip.AddrPort) *forwarder.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pool == nil || p.address != address {
+		if p.pool != nil {
+			p.pool.Close()
+		}
+		p.address = address
+		p.pool = forwarder.New(address, p.clock, forwarder.WithMaxBody(forwarder.ShortMaxBody))
+	}
+	return p.pool
+}
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,129 @@
+package prober
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
+)
+
+// fakeNode has one ready upstream and counts the reports of its load.
+type fakeNode struct {
+	address netip.AddrPort
+	reports atomic.Int64
+}
+
+func (f *fakeNode) UpstreamDiscovered(announcer.Announcement) {}
+
+func (f *fakeNode) Report(interpreter.Load) { f.reports.Add(1) }
+
+func (f *fakeNode) Target() Target {
+	return Target{
+		Address: f.address, HealthPath: "/health", Instance: "i", IsReady: true,
+		Load: executor.LoadState{IsReported: true}, Service: "s",
+	}
+}
+
+// loadInterpreter finds a load in each answer.
+type loadInterpreter struct{}
+
+func (loadInterpreter) ReadAnswer(*fasthttp.ResponseHeader) interpreter.Answer {
+	return interpreter.Answer{HasLoad: true, Load: interpreter.Load{Slots: 12, Slowdown: 1}}
+}
+
+// eventCounts is a Counter.
+type eventCounts struct {
+	mu     sync.Mutex
+	events map[string]int
+}
+
+func (e *eventCounts) Event(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events[name]++
+}
+
+func (e *eventCounts) count(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.events[name]
+}
+
+// newTestProber returns a prober of an upstream that answers each probe when answer returns.
+func newTestProber(t *testing.T, answer func()) (*Prober, *fakeNode, *eventCounts) {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { answer() }}
+	go func() { _ = server.Serve(socket) }()
+	t.Cleanup(func() { _ = socket.Close() })
+	node := &fakeNode{address: netip.MustParseAddrPort(socket.Addr().String())}
+	counts := &eventCounts{events: make(map[string]int)}
+	return New(timekeeper.System{}, counts, loadInterpreter{}, node), node, counts
+}
+
+// TestConcurrentLoadProbesAreShared starts ten load probes before the upstream has answered the first. The upstream
+// must get one health request, and all callers must return after its answer.
+func TestConcurrentLoadProbesAreShared(t *testing.T) {
+	release := make(chan struct{})
+	p, node, counts := newTestProber(t, func() { <-release })
+	first := p.startLoadProbe()
+	for range 9 {
+		if p.startLoadProbe() != first {
+			t.Error("a second probe was started beside the first")
+		}
+	}
+	close(release)
+	<-first
+	if probes, reports := counts.count("probes"), node.reports.Load(); probes != 1 || reports != 1 {
+		t.Errorf("%d probes and %d reports, want one of each", probes, reports)
+	}
+}
+
+// TestLateLoadProbePausesProbes guards against requests that each wait for an upstream that never answers its health
+// path: after one late probe the others must go on without one.
+func TestLateLoadProbePausesProbes(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	p, _, counts := newTestProber(t, func() { <-release })
+	p.clock = &expiringClock{}
+	p.ProbeLoad(t.Context())
+	p.ProbeLoad(t.Context())
+	if late := counts.count("start_probes_late"); late != 1 {
+		t.Errorf("%d calls waited for a late probe, want 1", late)
+	}
+	if p.startLoadProbe() != nil {
+		t.Error("a probe was started during the pause")
+	}
+}
+
+// expiringClock is a clock at a fixed time whose timers expire at once.
+type expiringClock struct{}
+
+func (*expiringClock) Now() time.Time { return time.Unix(1_000_000, 0) }
+
+func (*expiringClock) AfterFunc(_ time.Duration, f func()) timekeeper.Timer {
+	return time.AfterFunc(0, f)
+}
+
+// TestLoadProbeEndsWithItsContext checks that a caller who leaves does not wait for the upstream.
+func TestLoadProbeEndsWithItsContext(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	p, _, _ := newTestProber(t, func() { <-release })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p.ProbeLoad(ctx)
+}
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -113,9 +113,9 @@
 }
 
 // callHedged logs that a hedge begins: a second attempt of a call, concurrent with the first.
-func (n *Node) callHedged(call *dispatcher.Call, first, second string, reason meter.RetryReason) {
+func (n *Node) callHedged(call *dispatcher.Call, first, second string) {
 	n.events.write(!isTraced(call.RequestID), "A second try begins.", "request", call.RequestID, "call", call.ID,
-		"first", first, "second", second, "reason", reason, "took", n.clock.Now().Sub(call.Started))
+		"first", first, "second", second, "took", n.clock.Now().Sub(call.Started))
 }
 
 // retryRefused logs that a retry or a hedge of a call was refused.
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -155,11 +155,11 @@
 	if err := n.buildGossiper(); err != nil {
 		return nil, err
 	}
+	n.prober = prober.New(n.clock, n.meter, n.interpreter, proberNode{n})
 	n.buildCallPath()
 	console := formserver.New(n.clock, n.register, secrets.AdminToken)
 	n.administrator = administrator.New(n.register, statusReporter{n}, secrets.AdminToken, console.Serve)
 	n.registrar = registrar.NewWithLease(n.clock, settings.UpstreamLease.Std(), n.upstreamAnnounced)
-	n.prober = prober.New(n.clock, n.meter, n.interpreter, proberNode{n})
 	n.hints = hintreader.New(n.clock, n.meter, func() hintreader.Observation {
 		status := n.executor.Status()
 		return hintreader.Observation{
@@ -213,7 +213,7 @@
 	peers := &peerClient{
 		messenger: n.messenger, self: n.settings.Name, siblings: n.router.Members,
 		sendLoad: func(entries []string, load gossiper.Load) {
-			n.dispatcher.HandleLoadReport(n.settings.Name, loadFromGossip(load))
+			n.router.ObserveLoad(n.settings.Name, loadFromGossip(load))
 			n.gossiper.SendLoad(entries, load)
 		},
 	}
@@ -222,6 +222,7 @@
 		Bytes:          n.bindingBudget,
 		Clock:          n.clock,
 		Links:          peers,
+		LoadProber:     n.prober,
 		Meter:          n.meter,
 		Name:           n.settings.Name,
 		OnUpstreamDown: func(instance string) { n.registrar.MarkDown(instance) },
--- a/internal/relayer/peerclient.go
+++ b/internal/relayer/peerclient.go
@@ -73,7 +73,7 @@
 	n.log.Debug("The load of a node changed.", "member", from.Name, "running", load.Running,
 		"queued", load.Queued, "slots", load.Slots, "slowdown-percent", load.SlowdownPercent)
 	seen := loadFromGossip(load)
-	n.dispatcher.HandleLoadReport(from.Name, seen)
+	n.router.ObserveLoad(from.Name, seen)
 	n.reportSiblingLoad(from.Name, seen)
 }
 
--- a/internal/relayer/probernode.go
+++ b/internal/relayer/probernode.go
@@ -36,7 +36,7 @@
 		IsReady:  current.State == announcer.StateReady,
 		Service:  n.service(),
 	}
-	target.LoadAge, target.Running, target.ReportsLoad = n.executor.LoadAge()
+	target.Load = n.executor.LoadState()
 	if document := n.currentDocument(); document != nil {
 		service, _ := document.ServiceNamed(target.Service)
 		target.HealthPath = service.HealthPath
--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -21,9 +21,8 @@
 	// reportLifetime is how long a target's load report is used, with linearly falling weight. In a large fleet an
 	// entry node gets reports of most targets less than once a second.
 	reportLifetime = 2 * time.Second
-	// toleratedSlowCost is the cost of a slow target for a call that tolerates one, slowCost for other calls.
-	toleratedSlowCost = 100 * time.Millisecond
-	slowCost          = 250 * time.Millisecond
+	// slowCost is the cost of a slow target.
+	slowCost = 250 * time.Millisecond
 	// jitterCost is the upper bound of a random cost that spreads calls over targets with equal costs.
 	jitterCost = 4 * time.Millisecond
 )
@@ -50,10 +49,9 @@
 	return true
 }
 
-// isResponsive reports whether the target is believed to have free slots and its usual speed. If the need
-// tolerates a slow upstream, the speed doesn't matter.
-func (c *Candidate) isResponsive(need Need) bool {
-	return c.load() < 1 && (need.ToleratesSlow || !c.Slow)
+// isResponsive reports whether the target is believed to have free slots and its usual speed.
+func (c *Candidate) isResponsive() bool {
+	return c.load() < 1 && !c.Slow
 }
 
 // load returns the estimated fraction of the slots in use: the reported load, which fades with its age, or this node's
@@ -73,10 +71,7 @@
 	}
 	cost := time.Duration(float64(c.Distance) * distanceCostFactor * float64(targetLatency))
 	cost += time.Duration(c.FailureRate * float64(failureCost))
-	switch {
-	case c.Slow && need.ToleratesSlow:
-		cost += toleratedSlowCost
-	case c.Slow:
+	if c.Slow {
 		cost += slowCost
 	}
 	load := c.load()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -130,15 +130,13 @@
 	candidate := &candidates[index]
 	return Choice{
 		Load: candidate.load(), LoadAge: candidate.ReportAge, Member: picked.Member, Alternatives: others,
-		Responsive: candidate.isResponsive(need), Slow: candidate.Slow,
+		Responsive: candidate.isResponsive(), Slow: candidate.Slow,
 	}, true
 }
 
 // Need is what a call requires of its target.
 type Need struct {
-	// ToleratesSlow is true if the response will be in time even if the upstream is slow for a short period.
-	ToleratesSlow bool
-	Service       string
+	Service string
 	// TargetLatency is the time within which the response is fully useful; zero if none is set.
 	TargetLatency time.Duration
 }
@@ -333,18 +331,13 @@
 	}
 }
 
-// ObserveLoad records a load report of the target. It reports whether the target's upstream has become slow.
-func (r *Router) ObserveLoad(name string, load carrier.Load) bool {
+// ObserveLoad records a load report of the target.
+func (r *Router) ObserveLoad(name string, load carrier.Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, ok := r.targets[name]
-	if !ok {
-		return false
+	if t, ok := r.targets[name]; ok {
+		t.recordLoad(r.clock.Now(), load)
 	}
-	now := r.clock.Now()
-	wasSlow := now.Before(t.slowUntil)
-	t.recordLoad(now, load)
-	return !wasSlow && now.Before(t.slowUntil)
 }
 
 // MarkOverdue records that a response of the target is overdue. The target then counts as slow for overdueSlowTime.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -21,7 +21,7 @@
 	}
 	// A neighbour can always have one request of each rank queued, so that a neighbour whose requests are
 	// expensive gets its share.
-	if wait+s.expectedStall > target && len(s.flowOf(w.Class).queue) > 0 {
+	if wait+s.expectedHold(w.Class) > target && len(s.flowOf(w.Class).queue) > 0 {
 		return refuser.NewWithRetryAfter(refuser.ReasonQueueFull, s.retryAfter(w.Class, target), "the expected wait is too long")
 	}
 	if now.Add(wait + s.expectedCost(w.Class)).After(w.Deadline) {
@@ -30,12 +30,6 @@
 	return nil
 }
 
-// SetExpectedStall sets for how long the upstream is expected to make almost no progress. It is added to the
-// expected wait of new requests.
-func (s *Scheduler) SetExpectedStall(stall time.Duration) {
-	s.expectedStall = stall
-}
-
 // retryAfter returns the time after which a retry can be accepted: when the expected wait has dropped to half
 // of the acceptable one, and at least minRetryAfter.
 func (s *Scheduler) retryAfter(class Class, acceptable time.Duration) time.Duration {
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -100,6 +100,12 @@
 	m.s.SetSlots(m.now, m.slots)
 }
 
+func (m *machine) setSlowPeriod(t *rapid.T) {
+	slowdown := rapid.IntRange(1, 8).Draw(t, "slowdown")
+	remaining := time.Duration(rapid.IntRange(0, 600).Draw(t, "slow for")) * time.Millisecond
+	m.s.SetSlowPeriod(m.now, float64(slowdown), remaining)
+}
+
 func (m *machine) flush(*rapid.T) {
 	m.s.Flush(refuser.New(refuser.ReasonDraining, "leaving"))
 }
@@ -145,6 +151,7 @@
 			"rebind":   m.rebind,
 			"release":  m.release,
 			"resize":   m.resize,
+			"slow":     m.setSlowPeriod,
 			"submit":   m.submit,
 			"withdraw": m.withdraw,
 		})
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -9,7 +9,7 @@
 // dispatch assigns free slots to queued waiters.
 func (s *Scheduler) dispatch(now time.Time) {
 	for s.running < s.slots && s.queued > 0 {
-		w := s.next(now, false)
+		w := s.next(now, s.isStartable)
 		if w == nil {
 			return
 		}
@@ -18,17 +18,35 @@
 	}
 }
 
-// next removes the waiter that is next by rank and share from the queue. It refuses the waiters before it that
-// can no longer meet their deadline and, if others are queued, those whose answer would come too late. It
-// returns nil when no waiter is left; requestsOnly skips reservations.
-func (s *Scheduler) next(now time.Time, requestsOnly bool) *Waiter {
+// filter selects the waiters that can be taken from the queue.
+type filter func(*Waiter) bool
+
+// isRequest selects all waiters but reservations.
+func isRequest(w *Waiter) bool {
+	return !w.Reservation
+}
+
+// isStartable selects the waiters that can start in a free slot now.
+func (s *Scheduler) isStartable(w *Waiter) bool {
+	return !s.isHeld(w)
+}
+
+// hasStartable reports whether a queued waiter can start in a free slot now.
+func (s *Scheduler) hasStartable() bool {
+	return s.queued > 0 && s.nextRank(s.isStartable) != nil
+}
+
+// next removes the waiter that is next by rank and share among the selected ones from the queue. It refuses the
+// waiters before it that can no longer meet their deadline and, if others are queued, those whose answer would come
+// too late. It returns nil when no selected waiter is left.
+func (s *Scheduler) next(now time.Time, selects filter) *Waiter {
 	for {
-		rank := s.nextRank(requestsOnly)
+		rank := s.nextRank(selects)
 		if rank == nil {
 			return nil
 		}
-		f := rank.nextFlow(requestsOnly)
-		w := s.dequeue(rank, f, requestsOnly)
+		f := rank.nextFlow(selects)
+		w := s.dequeue(rank, f, selects)
 		if w.isTooLate(now) && s.queued > 0 {
 			w.phase = phaseRefused
 			w.Decisions <- Decision{Refusal: s.tooLateRefusal(w)}
@@ -42,9 +60,9 @@
 	}
 }
 
-// dequeue removes the first waiter, or the first request, from the flow.
-func (s *Scheduler) dequeue(rank *rankState, f *flow, requestsOnly bool) *Waiter {
-	w := f.firstWaiter(requestsOnly)
+// dequeue removes the first selected waiter from the flow.
+func (s *Scheduler) dequeue(rank *rankState, f *flow, selects filter) *Waiter {
+	w := f.firstWaiter(selects)
 	cost := w.charged
 	if f.queue[0] == w {
 		f.pop(cost)
@@ -64,11 +82,12 @@
 	s.queued--
 }
 
-// nextRank returns the most urgent rank with a backlog and credit, or else the most urgent one with a backlog.
-func (s *Scheduler) nextRank(requestsOnly bool) *rankState {
+// nextRank returns the most urgent rank with a selected waiter and credit, or else the most urgent one with a selected
+// waiter.
+func (s *Scheduler) nextRank(selects filter) *rankState {
 	var mostUrgent *rankState
 	for _, rank := range s.ranks {
-		if rank.queued == 0 || (requestsOnly && !rank.hasRequest()) {
+		if rank.queued == 0 || rank.nextFlow(selects) == nil {
 			continue
 		}
 		if rank.credit > 0 {
@@ -81,20 +100,11 @@
 	return mostUrgent
 }
 
-func (r *rankState) hasRequest() bool {
-	for _, f := range r.flows {
-		if f.firstWaiter(true) != nil {
-			return true
-		}
-	}
-	return false
-}
-
-// nextFlow returns the flow with the smallest start tag; ties are broken by the neighbour's name.
-func (r *rankState) nextFlow(requestsOnly bool) *flow {
+// nextFlow returns the flow with a selected waiter and the smallest start tag; ties are broken by the neighbour's name.
+func (r *rankState) nextFlow(selects filter) *flow {
 	var best *flow
 	for _, f := range r.flows {
-		if f.firstWaiter(requestsOnly) == nil {
+		if f.firstWaiter(selects) == nil {
 			continue
 		}
 		if best == nil || f.startTag < best.startTag || (f.startTag == best.startTag && f.neighbour < best.neighbour) {
@@ -104,10 +114,10 @@
 	return best
 }
 
-// firstWaiter returns the first waiter that is not skipped, or nil; requestsOnly skips reservations.
-func (f *flow) firstWaiter(requestsOnly bool) *Waiter {
+// firstWaiter returns the first selected waiter, or nil.
+func (f *flow) firstWaiter(selects filter) *Waiter {
 	for _, w := range f.queue {
-		if !requestsOnly || !w.Reservation {
+		if selects(w) {
 			return w
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,12 +53,12 @@
 	config        Config
 	costs         map[Class]float64
 	meanCost      float64
-	expectedStall time.Duration
 	queued        int
 	ranks         []*rankState
 	ratesUpdated  time.Time
 	running       int
 	slots         int
+	slow          slowPeriod
 	totalSlotTime time.Duration
 }
 
@@ -140,9 +140,10 @@
 	return max(minCost, time.Duration(seconds*float64(time.Second)))
 }
 
-// TryRun gives w a free slot. It reports false and changes nothing if no slot is free or others are queued.
+// TryRun gives w a free slot. It reports false and changes nothing if no slot is free, others are queued or w has to
+// wait for the end of a slow period.
 func (s *Scheduler) TryRun(w *Waiter) bool {
-	if s.running >= s.slots || s.queued > 0 {
+	if s.running >= s.slots || s.queued > 0 || s.isHeld(w) {
 		return false
 	}
 	s.start(w)
@@ -226,7 +227,7 @@
 // BindNext removes the request that is next in order from the queue and binds it to a slot of another server.
 // It returns nil if no request is queued; reservations are not bound.
 func (s *Scheduler) BindNext(now time.Time, binding Binding) *Waiter {
-	w := s.next(now, true)
+	w := s.next(now, isRequest)
 	if w == nil {
 		return nil
 	}
@@ -321,7 +322,7 @@
 func (s *Scheduler) checkInvariants() {
 	asserter.That(s.running >= 0, "scheduler-running", "%d running", s.running)
 	asserter.That(s.queued >= 0, "scheduler-queued", "%d queued", s.queued)
-	hasIdleSlot := s.queued > 0 && s.running < s.slots
+	hasIdleSlot := s.running < s.slots && s.hasStartable()
 	asserter.That(!hasIdleSlot, "scheduler-work-conserving", "%d queued with %d of %d slots", s.queued, s.running, s.slots)
 	asserter.That(!math.IsNaN(s.meanCost), "scheduler-mean", "mean cost is not a number")
 }
