Find the seeds and a first document soon after a loss of power

Cause: after a loss of power of all, a node that starts before a seed sends its first packet to a VM that is down. A replica asked one seed at a time, and a node without a document waited for gossip or a push.

Change: package dialer gives an attempt to connect 100 ms, the next twice as long, within the same timeout; messages between nodes and the pools use it. Replicas compare their member lists with all seeds at once while they join. A node without a document asks a live member for one every 200 ms.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -17,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
@@ -73,7 +73,7 @@
 type Pool struct {
 	address        netip.AddrPort
 	clock          timekeeper.Clock
-	dial           func(netip.AddrPort, time.Duration) (net.Conn, error)
+	dial           dialer.DialFunc
 	maxAge         time.Duration
 	maxBody        int
 	maxIdleTime    time.Duration
@@ -88,7 +88,7 @@
 type Option func(*Pool)
 
 // WithDialer replaces the TCP dialer. The function gets the pool's address and the dial timeout.
-func WithDialer(dial func(netip.AddrPort, time.Duration) (net.Conn, error)) Option {
+func WithDialer(dial dialer.DialFunc) Option {
 	return func(p *Pool) { p.dial = dial }
 }
 
@@ -113,7 +113,7 @@
 	p := &Pool{
 		address:     address,
 		clock:       clock,
-		dial:        dialTCP,
+		dial:        dialer.Dial,
 		maxAge:      DefaultMaxAge,
 		maxBody:     DefaultMaxBody,
 		maxIdleTime: DefaultMaxIdleTime,
@@ -124,10 +124,6 @@
 	return p
 }
 
-func dialTCP(address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address.String(), timeout)
-}
-
 // Exchange is one request, the response to fill in, and the limits on waiting for it.
 type Exchange struct {
 	// Accept reports whether a response belongs to the request; responses that do not are skipped. If nil, every
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 )
@@ -235,7 +236,7 @@
 // dial opens and authenticates the connection out, which is removed when it fails or disconnects.
 func (m *Messenger) dial(to endpoint, out *outgoingConn) {
 	defer close(out.ready)
-	raw, err := net.DialTimeout("tcp", to.address.String(), dialTimeout)
+	raw, err := dialer.Dial(to.address, dialTimeout)
 	if err == nil {
 		err = handshakeClient(raw, m.key, to.purpose)
 		if err != nil {
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
 
@@ -369,6 +370,21 @@
 	}
 }
 
+// firstDocumentInterval is the time between two requests for a document by a node that has none.
+const firstDocumentInterval = 200 * time.Millisecond
+
+// pullFirstDocument asks random live members for a document until one is in force or ctx is done. A node that has
+// just started refuses all requests until then, and gossip and pushes can take longer to reach it.
+func (n *Node) pullFirstDocument(ctx context.Context) {
+	for ctx.Err() == nil && n.register.Local() == nil {
+		if peers := n.livePeers(); len(peers) > 0 {
+			// A failed request is repeated with another member.
+			_ = n.pullDocument(ctx, gossiper.Member{Control: peers[rand.N(len(peers))]})
+		}
+		timekeeper.Sleep(ctx, n.clock, firstDocumentInterval)
+	}
+}
+
 func (n *Node) pullDocument(ctx context.Context, from gossiper.Member) error {
 	var document packedDocument
 	if err := n.messenger.Call(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document); err != nil {
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 const (
@@ -55,7 +56,9 @@
 	n.startTask(func() { runEvery(ctx, hintreader.Interval, func() { n.hints.Read(ctx) }) })
 	n.startTask(func() { runEvery(ctx, arrivalLogInterval, n.newArrivalLogger()) })
 	n.startTask(func() { n.syncMembers(ctx) })
+	n.joinSeeds(ctx)
 	n.startTask(func() { n.pullDocuments(ctx) })
+	n.startTask(func() { n.pullFirstDocument(ctx) })
 	n.startTask(func() { n.replayCrashes(ctx) })
 	n.startTask(func() { n.learnChosen(ctx) })
 	n.log.Info("Started.", "callers", n.settings.CallerAddress, "admin", n.settings.AdminAddress)
@@ -270,6 +273,22 @@
 	return n.messenger.Call(ctx, to, messenger.PurposeMembership, methodSync, request, &reply)
 }
 
+// joinSeeds compares the member list of a control replica with each seed's until the seed is known: replicas need each
+// other to read the register, and the other nodes wait for that after a loss of power of all.
+func (n *Node) joinSeeds(ctx context.Context) {
+	if n.register.acceptor == nil {
+		return
+	}
+	for _, seed := range n.unknownSeeds() {
+		n.startTask(func() {
+			for ctx.Err() == nil && n.isJoining() && slices.Contains(n.unknownSeeds(), seed) {
+				_ = n.syncWith(ctx, seed)
+				timekeeper.Sleep(ctx, n.clock, syncRetryInterval)
+			}
+		})
+	}
+}
+
 // joinWindow is how long after its start a node looks for all of its seeds.
 const joinWindow = 5 * time.Second
 
