--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -117,12 +117,16 @@
 )
 
 // setRetryAfter sets when the caller of a refused call should retry: with random jitter, so that callers don't
-// retry all at once, and early enough to be served before the caller gives up.
+// retry all at once, and early enough to be served before the caller gives up. A call that an upstream has shed although
+// it had room can be retried soon, at another upstream.
 func (d *Dispatcher) setRetryAfter(call *Call, refusal *refuser.Refusal) {
 	if refusal == nil || refusal.RetryAfter == 0 {
 		return
 	}
-	retryAfter := max(refusal.RetryAfter, minRetryAfter)
+	retryAfter := refusal.RetryAfter
+	if refusal.Reason != refuser.ReasonShed {
+		retryAfter = max(retryAfter, minRetryAfter)
+	}
 	retryAfter += rand.N(retryAfter / 2)
 	remaining := call.CallerDeadline.Sub(d.Clock.Now())
 	refusal.RetryAfter = max(time.Millisecond, min(retryAfter, remaining/retryAfterDivisor))
--- a/internal/dispatcher/attempts_test.go
+++ b/internal/dispatcher/attempts_test.go
@@ -73,3 +73,27 @@
 		}
 	}
 }
+
+// TestShedCallsComeBackSoon has an upstream shed calls although it has room, as a faulty one does, and another one refuse
+// them because it is full. The caller of a shed call is told to come back before the answer would be late; the caller of
+// the other one has to leave the upstream time to work off its queue.
+func TestShedCallsComeBackSoon(t *testing.T) {
+	const suggested = 50 * time.Millisecond
+	for _, test := range []struct {
+		reason   refuser.Reason
+		min, max time.Duration
+	}{
+		{refuser.ReasonShed, suggested, 2 * suggested},
+		{refuser.ReasonQueueFull, minRetryAfter, 2 * minRetryAfter},
+	} {
+		chain := newChain(t, 1, func() carrier.Outcome {
+			return carrier.Outcome{Refusal: refuser.NewWithRetryAfter(test.reason, suggested, "refused")}
+		})
+		for range 100 {
+			refusal := chain[0].Dispatch(context.Background(), newRequest(), &fasthttp.Response{})
+			if refusal == nil || refusal.RetryAfter < test.min || refusal.RetryAfter > test.max {
+				t.Fatalf("%s: refusal %+v, want to retry after %s to %s", test.reason, refusal, test.min, test.max)
+			}
+		}
+	}
+}
