Refuse a load report with NaN

Cause: NaN fails no comparison, so that ParseLoad took "NaN,0,12" for a load with a negative number of requests. The check now asks for what is allowed instead of for what is not. The test failed first for the four reports with NaN.

--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -129,7 +129,7 @@
 	numbers := make([]float64, len(parts))
 	for i, part := range parts {
 		number, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
-		if err != nil || number < 0 || number > math.MaxInt32 {
+		if err != nil || !(number >= 0 && number <= math.MaxInt32) {
 			return Load{}, false
 		}
 		numbers[i] = number
