Lose log lines that are written after the writer's close

Cause: a line was sent on a channel that Close had closed, so that a process could panic at its end while goroutines still logged. Write and Close now share a lock, and a late line is lost and counted.

--- a/internal/logger/asyncwriter.go
+++ b/internal/logger/asyncwriter.go
@@ -21,8 +21,11 @@
 	done  chan struct{}
 	lines chan []byte
 	lost  atomic.Uint64
-	once  sync.Once
 	to    io.Writer
+
+	// mu keeps Close from closing lines during a Write.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncWriter returns a writer that writes to the given one in its own goroutine until Close.
@@ -32,18 +35,30 @@
 	return w
 }
 
-// Write implements io.Writer. It queues one line and never fails.
+// Write implements io.Writer. It queues one line and never fails. A line that is written after Close is lost.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
-	select {
-	case w.lines <- copied:
-	default:
+	if !w.queue(append([]byte(nil), line...)) {
 		w.lost.Add(1)
 		lostLines.Add(1)
 	}
 	return len(line), nil
 }
 
+// queue queues the line. It reports false if the queue is full or the writer is closed.
+func (w *AsyncWriter) queue(line []byte) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
+	}
+	select {
+	case w.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 // lostLines counts the lines that all async writers of the process have lost.
 var lostLines atomic.Uint64
 
@@ -57,12 +72,21 @@
 	return w.lost.Load()
 }
 
-// Close writes the queued lines and stops the writer. Write must not be called afterwards.
+// Close writes the queued lines and stops the writer.
 func (w *AsyncWriter) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.stop()
 	<-w.done
 }
 
+func (w *AsyncWriter) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
+
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	var reported uint64
