--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, path)
 	}
-	settings.resolvePaths(filepath.Dir(path))
+	settings.ResolvePaths(filepath.Dir(path))
 	return settings, nil
 }
 
@@ -125,8 +125,8 @@
 	return settings, nil
 }
 
-// resolvePaths resolves relative paths against the folder.
-func (s *Settings) resolvePaths(folder string) {
+// ResolvePaths resolves relative paths against the folder of the settings file.
+func (s *Settings) ResolvePaths(folder string) {
 	for _, path := range []*string{&s.AdminTokenFile, &s.DataFolder, &s.DocumentFile, &s.PeerKeyFile} {
 		if *path != "" && !filepath.IsAbs(*path) {
 			*path = filepath.Join(folder, *path)
