List a restarted member once in the router

Cause: Update reset a target with a new incarnation before it took the target out of the list of its service, by the service that it had just forgotten. Counts of nodes, by which shares of bounds are divided, doubled as well.

Found by printing what each of 300 nodes knows after a loss of power of all: the median node had 356 targets in services of 179 and 116. The test failed first: 2 targets after one restart.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,10 +82,10 @@
 		t = &target{}
 		r.targets[m.Name] = t
 	}
+	r.removeFromService(t)
 	if t.Incarnation != m.Incarnation {
 		*t = target{outstanding: t.outstanding}
 	}
-	r.removeFromService(t)
 	t.Member = m
 	if m.IsServing() {
 		r.services[m.Service] = append(r.services[m.Service], t)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -107,3 +107,22 @@
 		t.Errorf("a restarted member got %d of 100 calls", got)
 	}
 }
+
+// TestRestartedMemberIsListedOnce guards against a target that stays in use after its upstream has left: a restart of its
+// node once put it into the list of its service a second time, and only one of the two was removed.
+func TestRestartedMemberIsListedOnce(t *testing.T) {
+	r := newRouter()
+	m := newMember("restarted", "r1", "dc1")
+	r.Update(m)
+	for m.Incarnation = range uint64(4) {
+		r.Update(m)
+		if got := r.Count("s"); got != 1 {
+			t.Fatalf("incarnation %d: %d targets, want 1", m.Incarnation, got)
+		}
+	}
+	m.Upstream = announcer.StateDraining
+	r.Update(m)
+	if choice, ok := r.Pick(Need{Service: "s"}, nil); ok {
+		t.Errorf("picked %s, whose upstream has left", choice.Name)
+	}
+}
