Compare views while many updates are being spread

Cause: a node compared its view with another's only when it had no update left to spread. At the start of 300 nodes each has 300 of them, and a budget of 2,450 B/s lets it send some 20 a second: minutes, during which an entry knew 70 of 179 targets at the start of the traffic (median of 300 nodes) and sent all of its requests there.

Change: views are compared unless all pending updates are younger than a second. A node that has started within 5 s does so every 750 ms in place of 2 s, whatever its byte budget.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -230,7 +230,7 @@
 			sender.since = now
 			g.enqueue(sender.Control, &Packet{Kind: KindUpdate, Members: []Member{sender.Member}})
 		}
-		viewDiffers := p.ViewHash != 0 && p.ViewHash != g.viewHash && len(g.updates) == 0
+		viewDiffers := p.ViewHash != 0 && p.ViewHash != g.viewHash && !g.hasFreshUpdates(now)
 		g.senderStates = append(g.senderStates, senderState{viewDiffers, sender.Member, p.Version})
 	}
 	g.handle(now, from, p)
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
@@ -36,6 +37,11 @@
 	gossipers      map[string]*Gossiper
 	namesByAddress map[netip.AddrPort]string
 	bytesSent      map[string]int
+	// budgets holds the byte budget of each member for spreading updates; a member without one has no limit.
+	budgets map[string]*budgeter.Bytes
+	// comparePause is how long a member does not compare its view again after it has.
+	comparePause time.Duration
+	comparedAt   map[string]time.Time
 }
 
 // event is an action at a point in virtual time.
@@ -81,6 +87,9 @@
 func (e endpoint) Send(to netip.AddrPort, datagram []byte) {
 	n := e.net
 	n.bytesSent[e.name] += len(datagram) + headerBytes
+	if budget := n.budgets[e.name]; budget != nil {
+		budget.Charge(len(datagram) + headerBytes)
+	}
 	target, ok := n.namesByAddress[to]
 	if !ok || n.random.Float64() < n.lossRate || n.partition[target] != n.partition[e.name] {
 		return
@@ -107,6 +116,10 @@
 
 // ViewDiffers implements Observer: it compares the views as the owner of a Gossiper does over a connection.
 func (e endpoint) ViewDiffers(from Member) {
+	if e.net.now.Sub(e.net.comparedAt[e.name]) < e.net.comparePause {
+		return
+	}
+	e.net.comparedAt[e.name] = e.net.now
 	own, other := e.net.gossipers[e.name], e.net.gossipers[from.Name]
 	if other == nil || e.net.partition[e.name] != e.net.partition[from.Name] || e.net.stopped[from.Name] {
 		return
@@ -119,7 +132,10 @@
 }
 
 // Allows implements Budget.
-func (endpoint) Allows(int) bool { return true }
+func (e endpoint) Allows(bytes int) bool {
+	budget := e.net.budgets[e.name]
+	return budget == nil || budget.Allows(bytes)
+}
 
 // newNetwork returns a network of count members that all know each other.
 func newNetwork(tb testing.TB, count int) *network {
@@ -133,6 +149,7 @@
 		tb.Fatal(err)
 	}
 	n := &network{
+		budgets: make(map[string]*budgeter.Bytes), comparedAt: make(map[string]time.Time),
 		bytesSent: make(map[string]int), codec: codec, namesByAddress: make(map[netip.AddrPort]string), now: time.Unix(1000, 0),
 		random: rand.New(rand.NewPCG(testSeed, testSeed)), partition: make(map[string]int),
 		stopped: make(map[string]bool), tb: tb, gossipers: make(map[string]*Gossiper),
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/asserter"
 )
@@ -134,3 +135,18 @@
 	g.counters.BytesSent += uint64(len(data))
 	g.outbox = append(g.outbox, datagram{data: data, to: to})
 }
+
+// spreadTime is how long an update usually takes to reach all members.
+const spreadTime = time.Second
+
+// hasFreshUpdates reports whether updates are being spread and all of them are younger than spreadTime. Views are not
+// compared meanwhile, because they become equal by themselves. Many updates, as at the start of a deployment, would take
+// minutes to spread within the budget.
+func (g *Gossiper) hasFreshUpdates(now time.Time) bool {
+	for name := range g.updates {
+		if now.Sub(g.members[name].since) >= spreadTime {
+			return false
+		}
+	}
+	return len(g.updates) > 0
+}
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -31,8 +31,10 @@
 	// syncBudgetBytes must be left in the membership budget for a sync to start.
 	syncBudgetBytes = 1000
 	syncInterval    = 20 * time.Second
-	// syncCooldown is the longest pause after a sync before a member whose view differs can trigger another.
-	syncCooldown = 2 * time.Second
+	// syncCooldown is the longest pause after a sync before a member whose view differs can trigger another, and
+	// startSyncCooldown that of a node that has started within joinWindow.
+	syncCooldown      = 2 * time.Second
+	startSyncCooldown = 750 * time.Millisecond
 	// syncRetryInterval is the pause after a sync that failed, or when no other member is known.
 	syncRetryInterval = 100 * time.Millisecond
 	// syncJoinInterval is the pause of a node that knows other members but not all of its seeds.
@@ -240,22 +242,36 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(min(wait, syncCooldown)):
+		case <-time.After(min(wait, n.syncCooldown())):
 		}
 	}
 }
 
+// isStarting reports whether the node has started within joinWindow. Most other nodes may be starting as well, so that
+// their records change all at once.
+func (n *Node) isStarting() bool {
+	return n.clock.Now().Sub(n.started) < joinWindow
+}
+
+func (n *Node) syncCooldown() time.Duration {
+	if n.isStarting() {
+		return startSyncCooldown
+	}
+	return syncCooldown
+}
+
 var (
 	errNoPeer     = merry.Sentinel("no other member to compare with")
 	errOverBudget = merry.Sentinel("over the byte budget of membership")
 )
 
-// syncWith merges the records in which the member's view differs and then sends the member those that it lacks.
+// syncWith merges the records in which the member's view differs and then sends the member those that it lacks. A node
+// that is starting does so whatever its byte budget.
 func (n *Node) syncWith(ctx context.Context, to netip.AddrPort) error {
 	if !to.IsValid() {
 		return errNoPeer
 	}
-	if !n.membershipBudget.Allows(syncBudgetBytes) {
+	if !n.isStarting() && !n.membershipBudget.Allows(syncBudgetBytes) {
 		n.meter.Event("comparisons_over_budget")
 		return errOverBudget
 	}
@@ -289,12 +305,12 @@
 	}
 }
 
-// joinWindow is how long after its start a node looks for all of its seeds.
+// joinWindow is how long after its start a node looks for all of its seeds and compares its view often.
 const joinWindow = 5 * time.Second
 
-// isJoining reports whether the node has started within joinWindow and does not know all of its seeds.
+// isJoining reports whether the node is starting and does not know all of its seeds.
 func (n *Node) isJoining() bool {
-	return n.clock.Now().Sub(n.started) < joinWindow && len(n.unknownSeeds()) > 0
+	return n.isStarting() && len(n.unknownSeeds()) > 0
 }
 
 // unknownSeeds returns the addresses of the other seeds that are not known as live members.
