--- a/internal/dispatcher/hedge.go
+++ b/internal/dispatcher/hedge.go
@@ -99,7 +99,8 @@
 	return min(high, max(latestStart, time.Duration(minHedgeDelayFactor*float64(median))))
 }
 
-// sendHedged sends an attempt, and a hedge to another target if the first attempt is overdue. The first successful response wins and the other attempt is cancelled.
+// sendHedged sends an attempt, and a hedge to another target if the first attempt is overdue. The first successful
+// response wins and the other attempt is cancelled.
 func (d *Dispatcher) sendHedged(ctx context.Context, call *Call, p *CallProgress, target gossiper.Member, optional bool, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	// Nested calls are not hedged, because the hedges of each level would multiply.
 	if !call.Idempotent || call.Depth > 0 || p.Runs+1 >= call.Attempts {
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -298,6 +298,7 @@
 	for _, seed := range n.unknownSeeds() {
 		n.startTask(func() {
 			for ctx.Err() == nil && n.isJoining() && slices.Contains(n.unknownSeeds(), seed) {
+				// A failed comparison is repeated after syncRetryInterval.
 				_ = n.syncWith(ctx, seed)
 				timekeeper.Sleep(ctx, n.clock, syncRetryInterval)
 			}
