Keep TestControlBudget within its limit of files

Cause: beside a load average of 16 nearly all of its 2,064 calls a second waited for their timeout of 10 s, up to 20,000 at once with two sockets or more each in one process that may open 20,000 files; a stand-in upstream could then not start again. The timeout is 2 s now. On a machine that carries the load no call lasts as long, and the bound of 7,000 bytes a second is unchanged.

--- a/internal/relayer/budget_test.go
+++ b/internal/relayer/budget_test.go
@@ -24,6 +24,9 @@
 		count    = 8
 		capacity = 86.0
 		measured = 8 * time.Second
+		// callTimeout keeps the calls under way, which hold several sockets each in this process, below its limit of
+		// files, also on a machine that can't carry the load.
+		callTimeout = 2 * time.Second
 	)
 	document, err := demonstrator.Document()
 	if err != nil {
@@ -58,7 +61,7 @@
 	g := loadgenerator.New(timekeeper.System{}, loadgenerator.Config{
 		AnswerBytes: 200, Duration: measured, Prefix: "budget", Rate: 3 * capacity * count, Seed: 1,
 		Kinds:   []loadgenerator.Kind{{Method: "GET", Path: "/entries", Weight: 1}, {Method: "GET", Path: "/archive", Weight: 1}},
-		Targets: d.CallerAddresses(), Timeout: 10 * time.Second,
+		Targets: d.CallerAddresses(), Timeout: callTimeout,
 	}, nil)
 	g.Run(t.Context())
 	stop.Store(true)
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -373,8 +373,8 @@
 // firstDocumentInterval is the time between two requests for a document by a node that has none.
 const firstDocumentInterval = 200 * time.Millisecond
 
-// pullFirstDocument asks random live members for a document until one is in force, be it from a file, or ctx is done. A node that has
-// just started refuses all requests until then, and gossip and pushes can take longer to reach it.
+// pullFirstDocument asks random live members for a document until one is in force, be it from a file, or ctx is done. A
+// node that has just started refuses all requests until then, and gossip and pushes can take longer to reach it.
 func (n *Node) pullFirstDocument(ctx context.Context) {
 	for ctx.Err() == nil && n.active.Load() == nil {
 		if peers := n.livePeers(); len(peers) > 0 {
