Let the goroutine of TestStartWaitsForEndOfSlowPeriod end

Cause: the test returned while its prober slept, and the virtual clock's goroutines must have ended by then.

--- a/internal/executor/slow_test.go
+++ b/internal/executor/slow_test.go
@@ -68,7 +68,10 @@
 // request that starts in such a period is slow to its end, so each must wait until the VM has its usual speed again.
 // If the period lasts, the requests must start when they have waited for about as long as they would have lost at once.
 func TestStartWaitsForEndOfSlowPeriod(t *testing.T) {
-	const serviceTime = 100 * time.Millisecond
+	const (
+		probeInterval = 25 * time.Millisecond
+		serviceTime   = 100 * time.Millisecond
+	)
 	for _, test := range []struct {
 		name       string
 		slowPeriod time.Duration
@@ -90,7 +93,7 @@
 				began := time.Now()
 				time.AfterFunc(test.slowPeriod, func() { m.slowdown.Store(1) })
 				ctx, stop := context.WithCancel(t.Context())
-				go m.probeLoadEvery(ctx, 25*time.Millisecond)
+				go m.probeLoadEvery(ctx, probeInterval)
 				for i := range testSlots {
 					x := m.newExecution(strconv.Itoa(i), time.Now().Add(5*time.Second))
 					x.Attempt.Rank = "urgent"
@@ -105,7 +108,8 @@
 				}
 				time.Sleep(5 * time.Second)
 				stop()
-				synctest.Wait()
+				// The goroutine that probes ends after its next pause.
+				time.Sleep(probeInterval + time.Millisecond)
 			})
 		})
 	}
