Read the scenarios of the relayer's tests in one place

Both scenario tests decoded a file and started the HTTP library's clock before the synctest bubble, in the same lines. No assertion, bound, seed or data changes.

--- a/internal/relayer/repeatbudget_test.go
+++ b/internal/relayer/repeatbudget_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -16,7 +14,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
@@ -99,20 +96,11 @@
 
 func runScenario(t *testing.T, name string) *scenarioRun {
 	t.Helper()
-	text, err := os.ReadFile("testdata/repeats/" + name + ".json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := &scenarioRun{
 		nestedOfRepeats: make(map[string]bool), requests: make(map[string][]time.Duration), repeats: make(map[string][]time.Duration),
 		arrived: make(map[string]bool), served: make(map[string]int), sent: make(map[string]int),
 	}
-	if err := json.Unmarshal(text, &r.scenario); err != nil {
-		t.Fatal(err)
-	}
-	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts
-	// it outside the synctest bubble.
-	carrier.EncodeResponse(&fasthttp.Response{})
+	readScenario(t, "testdata/repeats/"+name+".json", &r.scenario)
 	synctest.Test(t, func(t *testing.T) {
 		r.virtualDeployment = newVirtualDeployment(t)
 		r.random = &lockedRand{random: rand.New(rand.NewPCG(r.scenario.Seed, 0))}
--- a/internal/relayer/slowperiod_test.go
+++ b/internal/relayer/slowperiod_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,7 +13,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
@@ -60,26 +57,17 @@
 // TestSlowPeriods covers VMs that are 7 times slower for half a second, a quarter of the time. Work that starts in such
 // a period is slow to its end, so that a request must not start there.
 func TestSlowPeriods(t *testing.T) {
-	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts it outside
-	// the synctest bubble.
-	carrier.EncodeResponse(&fasthttp.Response{})
 	files, err := filepath.Glob("testdata/slow-periods/*.json")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scenarios: %v", err)
 	}
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
 			r := &slowPeriodRun{
 				random: &lockedRand{random: rand.New(rand.NewPCG(1, 1))},
 				slow:   make(map[string][]bool), inTime: make(map[string]int), sent: make(map[string]int),
 			}
-			if err := json.Unmarshal(text, &r.scenario); err != nil {
-				t.Fatal(err)
-			}
+			readScenario(t, file, &r.scenario)
 			synctest.Test(t, r.run)
 			r.check(t)
 		})
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -53,6 +54,21 @@
 	return request, err
 }
 
+// readScenario decodes the scenario in a JSON file and prepares for a run in virtual time.
+func readScenario(t *testing.T, file string, scenario any) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, scenario); err != nil {
+		t.Fatal(err)
+	}
+	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts it outside
+	// the synctest bubble.
+	carrier.EncodeResponse(&fasthttp.Response{})
+}
+
 // virtualDeployment runs real nodes in virtual time, connected by function calls instead of a network.
 type virtualDeployment struct {
 	t        *testing.T
