--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 )
 
 const (
@@ -47,6 +49,9 @@
 	queue []*exchange
 	// reading is set while a request is being received.
 	reading bool
+	// aborted is set when the listener has aborted the connection, and closedAsIdle when it has closed it as idle.
+	aborted      bool
+	closedAsIdle bool
 	// dequeued signals that exchanges were removed from the queue.
 	dequeued sync.Cond
 }
@@ -93,8 +98,11 @@
 // that are unanswered when the stream ends, waits until the queue is empty, and closes the connection.
 func (c *conn) awaitClose() {
 	// The copy ends when the caller closes the connection, or at the deadline that lingeringClose sets.
-	_, _ = io.Copy(io.Discard, c.reader)
+	discarded, _ := io.Copy(io.Discard, c.reader)
 	c.mu.Lock()
+	if discarded > 0 && !c.aborted {
+		c.reportUnanswered(c.discardCause(), nil)
+	}
 	if len(c.queue) > 0 {
 		c.cancel()
 	}
@@ -184,6 +192,14 @@
 	return !c.closing
 }
 
+// discardCause returns the cause for input that is discarded. It is called with mu held.
+func (c *conn) discardCause() UnansweredCause {
+	if c.lingering && !c.closedAsIdle {
+		return CauseBehindLast
+	}
+	return c.endCause()
+}
+
 // setIdleDeadline sets the read deadline to the idle timeout, or clears it while requests are unanswered. It is called
 // with mu held.
 func (c *conn) setIdleDeadline() {
@@ -282,15 +298,18 @@
 		}
 		lastWritten = x.closeAfter
 		writeErr = c.writeResponse(writer, x)
-		c.queue = c.queue[1:]
 		if writeErr != nil {
 			break
 		}
+		c.queue = c.queue[1:]
 	}
-	if lastWritten || writeErr != nil {
-		c.discardQueue()
-	} else if len(c.queue) == 0 && !c.reading {
-		c.setIdleDeadline()
+	switch {
+	case writeErr != nil:
+		c.discardQueue(c.endCause())
+	case lastWritten:
+		c.discardQueue(CauseBehindLast)
+	default:
+		c.resumeIdle()
 	}
 	startable := c.takeStartable()
 	c.dequeued.Broadcast()
@@ -317,10 +336,21 @@
 	return writer.Flush()
 }
 
+// resumeIdle sets the idle timeout again after the last unanswered request. It is called with mu held.
+func (c *conn) resumeIdle() {
+	if len(c.queue) == 0 && !c.reading {
+		c.setIdleDeadline()
+	}
+}
+
 // discardQueue discards the remaining requests of a connection that ends. Those that have been started run until they
 // notice it. It is called with mu held.
-func (c *conn) discardQueue() {
+func (c *conn) discardQueue(cause UnansweredCause) {
 	c.closing = true
+	// What Abort ends is reported there.
+	if !c.aborted {
+		c.reportQueue(cause)
+	}
 	c.queue = nil
 }
 
@@ -347,8 +377,12 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	idle := len(c.queue) == 0 && !c.reading
-	if idle {
+	if idle && !c.closing {
 		c.closing = true
+		c.closedAsIdle = true
+		if forwarder.HasInput(c.Conn) {
+			c.reportUnanswered(CauseUnread, nil)
+		}
 	}
 	c.mu.Unlock()
 	if idle {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -32,6 +32,9 @@
 	Handle Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// OnUnanswered, if not nil, is called for each request that ends without a whole response. It must not block. The
+	// request is nil if it was not read in full.
+	OnUnanswered func(cause UnansweredCause, req *fasthttp.Request)
 	// Refuse fills in the response to a request that can't be read because of cause.
 	Refuse func(resp *fasthttp.Response, cause error)
 }
@@ -155,6 +158,7 @@
 func (l *Listener) Abort() {
 	l.stopAccepting()
 	for _, c := range l.openConns() {
+		c.markAborted()
 		c.abort()
 	}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -102,6 +102,15 @@
 	m.refusalCounter(reason).Inc()
 }
 
+func (m *Meter) unansweredCounter(cause string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_requests_unanswered_total{cause=%q}`, cause))
+}
+
+// Unanswered counts a request that ended without a whole response.
+func (m *Meter) Unanswered(cause string) {
+	m.unansweredCounter(cause).Inc()
+}
+
 // Retried counts a retry or a hedge.
 func (m *Meter) Retried(reason RetryReason) {
 	m.retryCounter(reason).Inc()
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/dispatcher"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
@@ -124,6 +125,19 @@
 		"target", target, "neighbour", call.Neighbour, "reason", reason, "took", n.clock.Now().Sub(call.Started))
 }
 
+// requestUnanswered counts and logs a request that ended without a whole response. The request is nil if it was not read
+// in full.
+func (n *Node) requestUnanswered(cause listener.UnansweredCause, req *fasthttp.Request) {
+	n.meter.Unanswered(string(cause))
+	id := ""
+	if req != nil {
+		// A request whose headers can't be read is reported without its ID.
+		parsed, _ := n.interpreter.ReadRequest(&req.Header)
+		id = parsed.ID
+	}
+	n.events.write(!cause.IsOwn(), "A request ended without an answer.", "request", id, "cause", cause, "draining", n.draining.Load())
+}
+
 // requestQuarantined logs that a kind of request is no longer run because upstreams crashed while it ran.
 func (n *Node) requestQuarantined(fingerprint quarantiner.Fingerprint, upstreams int, d time.Duration) {
 	n.log.Warn("A request is barred: upstreams crashed while it ran.", "fingerprint", fingerprint, "upstreams", upstreams, "for", d)
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -150,7 +150,9 @@
 }
 
 func (n *Node) newListener(handle listener.Handler, limits func() listener.Limits) *listener.Listener {
-	return listener.New(listener.Config{Handle: handle, Limits: limits, Refuse: n.refuseUnreadable})
+	return listener.New(listener.Config{
+		Handle: handle, Limits: limits, OnUnanswered: n.requestUnanswered, Refuse: n.refuseUnreadable,
+	})
 }
 
 // callerLimits returns the limits on callers' requests. Limits that the document in force does not set come from the
