Log each unanswered request of ours or beside a stop, not a sample

Lines on requests that ended without an answer counted as routine unless the cause was a fault of ours, so that most were left out beside a burst.

--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -135,7 +135,7 @@
 		parsed, _ := n.interpreter.ReadRequest(&req.Header)
 		id = parsed.ID
 	}
-	n.events.write(!cause.IsOwn(), "A request ended without an answer.", "request", id, "cause", cause, "draining", n.draining.Load())
+	n.events.write(cause == listener.CauseCallerGone, "A request ended without an answer.", "request", id, "cause", cause, "draining", n.draining.Load())
 }
 
 // requestQuarantined logs that a kind of request is no longer run because upstreams crashed while it ran.
