--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -25,6 +25,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveListener(t, socket, handle), socket.Addr().String()
+}
+
+// serveListener starts a listener that accepts connections from socket.
+func serveListener(t *testing.T, socket net.Listener, handle Handler) *Listener {
+	t.Helper()
 	l := New(Config{
 		Handle: handle,
 		Limits: func() Limits {
@@ -47,7 +53,7 @@
 	})
 	go l.Serve(socket)
 	t.Cleanup(l.Abort)
-	return l, socket.Addr().String()
+	return l
 }
 
 // dialAndSend opens a connection and sends text on it.
