Close an idle connection only in the goroutine that reads it

Callers saw a whole request end without an answer while a node was stopped.

Cause: StartShutdown closed each connection that had no request in its queue and none noted as being read. A request isn't noted between the arrival of its first byte and the reader's next step, and it wasn't noted between the end of its reading and its place in the queue. InFlight had the same gaps, so that the wait for the last request could end with one in the process.

Now a shutdown wakes the readers of idle connections. A reader first looks for input; a request that has come is read and answered, and only without one the connection is closed. A request counts from its first byte to the end of its answer, without a gap, and an accepted connection is always served. A connection whose idle timeout has been raised meanwhile stays open.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -47,11 +47,12 @@
 	lingering bool
 	// queue holds the unanswered exchanges, in the order of their requests.
 	queue []*exchange
-	// reading is set while a request is being received.
-	reading bool
-	// aborted is set when the listener has aborted the connection, and closedAsIdle when it has closed it as idle.
-	aborted      bool
-	closedAsIdle bool
+	// receiving is set from the first byte of a request until the request is in the queue.
+	receiving bool
+	// idleSince is when the wait for the next request began.
+	idleSince time.Time
+	// aborted is set when the listener has aborted the connection.
+	aborted bool
 	// dequeued signals that exchanges were removed from the queue.
 	dequeued sync.Cond
 }
@@ -85,23 +86,26 @@
 	}
 	c.mu.Lock()
 	c.closing = true
-	if len(c.queue) == 0 {
-		c.lingeringClose()
-	} else if !c.lingering {
+	idle := len(c.queue) == 0 && !c.lingering
+	if len(c.queue) > 0 {
 		_ = c.SetReadDeadline(time.Time{})
 	}
 	c.mu.Unlock()
-	c.awaitClose()
+	if !idle {
+		c.awaitClose()
+	}
+	_ = c.Close()
 }
 
 // awaitClose discards input up to the end of the stream while the remaining requests are processed. It cancels those
-// that are unanswered when the stream ends, waits until the queue is empty, and closes the connection.
+// that are unanswered when the stream ends, and waits until the queue is empty.
 func (c *conn) awaitClose() {
 	// The copy ends when the caller closes the connection, or at the deadline that lingeringClose sets.
 	discarded, _ := io.Copy(io.Discard, c.reader)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if discarded > 0 && !c.aborted {
-		c.reportUnanswered(c.discardCause(), nil)
+		c.reportUnanswered(CauseBehindLast, nil)
 	}
 	if len(c.queue) > 0 {
 		c.cancel()
@@ -109,8 +113,6 @@
 	for len(c.queue) > 0 {
 		c.dequeued.Wait()
 	}
-	c.mu.Unlock()
-	_ = c.Close()
 }
 
 // readNext reads one request and queues it. It returns false when no further request is to be read.
@@ -118,28 +120,32 @@
 	if !c.awaitRequest() {
 		return false
 	}
+	x, err := c.readRequest()
+	if err != nil {
+		c.refuse(x, err)
+		return false
+	}
+	isLast := x.closeAfter
+	return c.enqueue(x) && !isLast
+}
+
+// readRequest reads the request whose first byte has arrived.
+func (c *conn) readRequest() (*exchange, error) {
 	limits := c.listener.Limits()
 	x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}}
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+requestLineBytes)
-	if err == nil && len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
-		err = &fasthttp.ErrSmallBuffer{}
+	if err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+requestLineBytes); err != nil {
+		return x, err
 	}
-	if err == nil {
-		_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-		err = c.readBody(x.request, limits.MaxBodyBytes)
+	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
+		return x, &fasthttp.ErrSmallBuffer{}
 	}
-	c.mu.Lock()
-	c.reading = false
-	c.mu.Unlock()
-	if err != nil {
-		return c.refuse(x, err)
+	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
+		return x, err
 	}
 	x.concurrent = x.request.Header.IsGet() || x.request.Header.IsHead()
 	x.closeAfter = x.request.ConnectionClose()
-	closeAfter := x.closeAfter
-	c.enqueue(x)
-	return !closeAfter
+	return x, nil
 }
 
 // readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
@@ -170,60 +176,107 @@
 }
 
 // awaitRequest waits until fewer than maxPipelined requests are unanswered and the first byte of the next one has
-// arrived. It returns false when the connection is closing, and cancels the running requests when it can't be read.
+// arrived. It returns false when no further request is to be read, and cancels the running ones when the caller has
+// disconnected. Only here is a connection found to be idle, so that none is closed under a request that has arrived.
 func (c *conn) awaitRequest() bool {
+	for c.prepareToWait() {
+		_, err := c.reader.Peek(1)
+		if isTimeout(err) && forwarder.HasInput(c.Conn) {
+			_ = c.SetReadDeadline(time.Now().Add(c.listener.Limits().HeaderTimeout))
+			_, err = c.reader.Peek(1)
+		}
+		switch {
+		case err == nil:
+			return c.startReceiving()
+		case !isTimeout(err):
+			c.cancel()
+			return false
+		case c.isExpired():
+			return false
+		}
+	}
+	return false
+}
+
+// prepareToWait waits until fewer than maxPipelined requests are unanswered and sets the deadline for the first byte of
+// the next request. It returns false when the connection is closing.
+func (c *conn) prepareToWait() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for len(c.queue) >= maxPipelined {
 		c.dequeued.Wait()
 	}
 	if c.closing {
-		c.mu.Unlock()
 		return false
 	}
 	c.setIdleDeadline()
-	c.mu.Unlock()
-	if _, err := c.reader.Peek(1); err != nil {
-		c.cancel()
-		return false
-	}
+	return true
+}
+
+// isExpired reports whether a connection without input has been idle for the idle timeout, which may have been changed
+// meanwhile, or is to be closed anyway.
+func (c *conn) isExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
-	return !c.closing
+	return c.closing || c.listener.closed.Load() || time.Since(c.idleSince) >= c.listener.Limits().IdleTimeout
 }
 
-// discardCause returns the cause for input that is discarded. It is called with mu held.
-func (c *conn) discardCause() UnansweredCause {
-	if c.lingering && !c.closedAsIdle {
-		return CauseBehindLast
+// startReceiving notes that a request has begun to arrive. It returns false if the request is not to be read: it is
+// behind the last one, or behind others on a listener that has been closed.
+func (c *conn) startReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || (c.listener.closed.Load() && len(c.queue) > 0) {
+		return false
 	}
-	return c.endCause()
+	c.receiving = true
+	_ = c.SetReadDeadline(time.Now().Add(c.listener.Limits().HeaderTimeout))
+	return true
 }
 
-// setIdleDeadline sets the read deadline to the idle timeout, or clears it while requests are unanswered. It is called
-// with mu held.
+// setIdleDeadline sets the read deadline to the idle timeout, or to now if the listener is closed, or clears it while
+// requests are unanswered. It is called with mu held.
 func (c *conn) setIdleDeadline() {
+	c.idleSince = time.Now()
 	deadline := time.Time{}
-	if len(c.queue) == 0 {
-		deadline = time.Now().Add(c.listener.Limits().IdleTimeout)
+	switch {
+	case len(c.queue) > 0:
+	case c.listener.closed.Load():
+		deadline = c.idleSince
+	default:
+		deadline = c.idleSince.Add(c.listener.Limits().IdleTimeout)
 	}
 	_ = c.SetReadDeadline(deadline)
 }
 
+// wakeIdle interrupts the wait for the next request if no request is unanswered or being received.
+func (c *conn) wakeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 && !c.receiving && !c.closing {
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
 // refuse queues the response to a request that can't be read as the last one of the connection. If the caller has
-// disconnected, it cancels the running requests instead. It always returns false.
-func (c *conn) refuse(x *exchange, cause error) bool {
+// disconnected, it cancels the running requests instead.
+func (c *conn) refuse(x *exchange, cause error) {
 	if isDisconnect(cause) {
+		c.mu.Lock()
+		c.receiving = false
+		c.mu.Unlock()
 		c.cancel()
-		return false
+		return
 	}
 	c.listener.Refuse(x.response, cause)
 	x.started, x.done, x.closeAfter = true, true, true
-	c.mu.Lock()
-	c.queue = append(c.queue, x)
-	c.mu.Unlock()
+	c.enqueue(x)
 	c.writeReady()
-	return false
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // isDisconnect reports whether a request is incomplete because the caller closed the connection or the network failed.
@@ -234,19 +287,27 @@
 	}
 	var netErr net.Error
 	if errors.As(err, &netErr) {
-		return !netErr.Timeout()
+		return !isTimeout(err)
 	}
 	var nothingRead fasthttp.ErrNothingRead
 	return errors.As(err, &nothingRead)
 }
 
-// enqueue adds the exchange to the queue and starts those that may run.
-func (c *conn) enqueue(x *exchange) {
+// enqueue adds the received exchange to the queue and starts those that may run. It returns false if the connection has
+// failed meanwhile.
+func (c *conn) enqueue(x *exchange) bool {
 	c.mu.Lock()
+	c.receiving = false
+	if c.closing {
+		c.reportUnanswered(CauseCallerGone, x.request)
+		c.mu.Unlock()
+		return false
+	}
 	c.queue = append(c.queue, x)
 	startable := c.takeStartable()
 	c.mu.Unlock()
 	c.start(startable)
+	return true
 }
 
 // takeStartable returns the exchanges that are to be started now and marks them as started: the first in the queue,
@@ -284,7 +345,7 @@
 
 // writeReady writes the responses at the head of the queue that are done, up to one that closes the connection, and
 // starts the requests that may run after that. While the listener drains, a response closes the connection unless the
-// next request has been started.
+// next request has been started or is being received.
 func (c *conn) writeReady() {
 	c.mu.Lock()
 	writer := bufio.NewWriterSize(c.Conn, writeBufferBytes)
@@ -293,7 +354,8 @@
 	for len(c.queue) > 0 && c.queue[0].done && !lastWritten {
 		x := c.queue[0]
 		nextStarted := len(c.queue) > 1 && c.queue[1].started
-		if c.listener.draining.Load() && !nextStarted {
+		nextArrives := len(c.queue) == 1 && c.receiving
+		if c.listener.draining.Load() && !nextStarted && !nextArrives {
 			x.closeAfter = true
 		}
 		lastWritten = x.closeAfter
@@ -305,7 +367,7 @@
 	}
 	switch {
 	case writeErr != nil:
-		c.discardQueue(c.endCause())
+		c.discardQueue(CauseCallerGone)
 	case lastWritten:
 		c.discardQueue(CauseBehindLast)
 	default:
@@ -338,7 +400,7 @@
 
 // resumeIdle sets the idle timeout again after the last unanswered request. It is called with mu held.
 func (c *conn) resumeIdle() {
-	if len(c.queue) == 0 && !c.reading {
+	if len(c.queue) == 0 && !c.receiving {
 		c.setIdleDeadline()
 	}
 }
@@ -356,7 +418,7 @@
 
 // lingeringClose closes the connection for writing after the last response. Further input is read for lingerTimeout,
 // because closing a connection with unread input would reset it before the caller has read the response. It closes the
-// connection at once if it can't be half-closed or the listener is closed. It is called with mu held.
+// connection at once if it can't be half-closed. It is called with mu held.
 func (c *conn) lingeringClose() {
 	c.lingering = true
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
@@ -373,25 +435,13 @@
 	_ = c.Close()
 }
 
-// closeIdle closes the connection if no request is unanswered or being received.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	idle := len(c.queue) == 0 && !c.reading
-	if idle && !c.closing {
-		c.closing = true
-		c.closedAsIdle = true
-		if forwarder.HasInput(c.Conn) {
-			c.reportUnanswered(CauseUnread, nil)
-		}
-	}
-	c.mu.Unlock()
-	if idle {
-		c.abort()
-	}
-}
-
+// inFlight returns the number of requests that are unanswered or being received.
 func (c *conn) inFlight() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue)
+	count := len(c.queue)
+	if c.receiving {
+		count++
+	}
+	return count
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -63,12 +63,14 @@
 // Serve accepts and serves connections until Close, StartShutdown or Abort is called. It does not wait for open
 // connections.
 func (l *Listener) Serve(listener net.Listener) {
-	l.mu.Lock()
-	l.listener = listener
-	l.mu.Unlock()
+	if !l.open(listener) {
+		_ = listener.Close()
+		return
+	}
+	defer l.serving.Done()
 	for {
 		raw, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) || l.closed.Load() {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
@@ -77,10 +79,7 @@
 			continue
 		}
 		c := newConn(l, raw)
-		if !l.add(c) {
-			_ = raw.Close()
-			return
-		}
+		l.add(c)
 		l.serving.Go(func() {
 			c.serve()
 			l.remove(c)
@@ -88,29 +87,37 @@
 	}
 }
 
-func (l *Listener) add(c *conn) bool {
+// open makes listener the one to close later. It returns false if the Listener has been closed already.
+func (l *Listener) open(listener net.Listener) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed.Load() {
 		return false
 	}
-	l.conns[c] = struct{}{}
+	l.listener = listener
+	l.serving.Add(1)
 	return true
 }
 
+func (l *Listener) add(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
 
-// Drain makes each further response close its connection, unless the next pipelined request is already running. New
+// Drain makes each further response close its connection, unless the next pipelined request has begun to arrive. New
 // connections are still accepted and served.
 func (l *Listener) Drain() {
 	l.draining.Store(true)
 }
 
-// InFlight returns the number of requests that were received and whose responses are not yet written.
+// InFlight returns the number of requests that have begun to arrive and whose responses are not yet written.
 func (l *Listener) InFlight() int {
 	count := 0
 	for _, c := range l.openConns() {
@@ -129,8 +136,8 @@
 	return conns
 }
 
-// Close stops accepting connections, closes idle ones, and waits for the others to finish. When ctx is done, it aborts
-// the remaining ones.
+// Close stops accepting connections, closes idle ones, and waits until the requests on the others are answered. When
+// ctx is done, it aborts the remaining ones.
 func (l *Listener) Close(ctx context.Context) {
 	l.StartShutdown()
 	done := make(chan struct{})
@@ -145,12 +152,13 @@
 	}
 }
 
-// StartShutdown stops accepting connections and closes idle ones, without waiting. The others are closed as by Drain.
+// StartShutdown stops accepting connections and closes those on which no request arrives, without waiting. The others
+// are closed as by Drain.
 func (l *Listener) StartShutdown() {
 	l.Drain()
 	l.stopAccepting()
 	for _, c := range l.openConns() {
-		c.closeIdle()
+		c.wakeIdle()
 	}
 }
 
@@ -165,8 +173,8 @@
 
 // stopAccepting closes the net.Listener.
 func (l *Listener) stopAccepting() {
-	l.closed.Store(true)
 	l.mu.Lock()
+	l.closed.Store(true)
 	listener := l.listener
 	l.mu.Unlock()
 	if listener != nil {
--- a/internal/listener/unanswered.go
+++ b/internal/listener/unanswered.go
@@ -5,28 +5,26 @@
 // UnansweredCause is the reason why a request, or a part of one, got no whole response.
 type UnansweredCause string
 
-// The causes. With those that IsOwn reports, the fault lies with this process.
+// The causes. IsOwn reports whether one is a fault of this process.
 const (
-	// CauseAborted means that Abort has closed the connection.
+	// CauseAborted means that Abort has closed the connection while the request was processed.
 	CauseAborted UnansweredCause = "aborted"
 	// CauseBehindLast means that the request arrived behind a request whose response closes the connection.
 	CauseBehindLast UnansweredCause = "behind-last"
-	// CauseCallerGone means that the caller has closed the connection or its end can't be reached.
+	// CauseCallerGone means that the caller has closed the connection or can't be reached.
 	CauseCallerGone UnansweredCause = "caller-gone"
-	// CauseClosedAsIdle means that the connection was closed as idle after the request had begun to arrive.
-	CauseClosedAsIdle UnansweredCause = "closed-as-idle"
-	// CauseUnread means that the request arrived while the connection was being closed as idle, and was not read.
-	CauseUnread UnansweredCause = "unread"
+	// CauseIncomplete means that Abort has closed the connection before the whole request had arrived.
+	CauseIncomplete UnansweredCause = "incomplete"
 )
 
 // UnansweredCauses returns all causes.
 func UnansweredCauses() []UnansweredCause {
-	return []UnansweredCause{CauseAborted, CauseBehindLast, CauseCallerGone, CauseClosedAsIdle, CauseUnread}
+	return []UnansweredCause{CauseAborted, CauseBehindLast, CauseCallerGone, CauseIncomplete}
 }
 
-// IsOwn reports whether this process has read a request and could have answered it.
+// IsOwn reports whether this process had the whole request and could have answered it.
 func (c UnansweredCause) IsOwn() bool {
-	return c == CauseAborted || c == CauseClosedAsIdle
+	return c == CauseAborted
 }
 
 // reportUnanswered reports a request that ends without a whole response. The request is nil if it was not read in full
@@ -49,15 +47,6 @@
 	}
 }
 
-// endCause returns the cause for the requests that are unanswered when the connection can't be used any more. It is
-// called with mu held.
-func (c *conn) endCause() UnansweredCause {
-	if c.closedAsIdle {
-		return CauseClosedAsIdle
-	}
-	return CauseCallerGone
-}
-
 // markAborted notes that the listener aborts the connection, and reports the requests that this ends.
 func (c *conn) markAborted() {
 	c.mu.Lock()
@@ -67,7 +56,7 @@
 	}
 	c.aborted = true
 	c.reportQueue(CauseAborted)
-	if c.reading {
-		c.reportUnanswered(CauseAborted, nil)
+	if c.receiving {
+		c.reportUnanswered(CauseIncomplete, nil)
 	}
 }
