Answer the requests that still run when the time for closing has passed

A process that is asked to stop closed the connections of what still ran at the end of its time: callers got no answer and could not tell why. The requests are now cancelled first, so that their handlers answer what is known (not run, or the outcome is unknown), and only what has no answer 0.1 s later is cut.

TestRequestIsAnsweredAtEndOfClose failed with the end of the stream before, and passes 20 times in a row now.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -136,8 +136,11 @@
 	return conns
 }
 
+// answerGrace is how long the handlers whose requests are cancelled at the end of Close can take to answer them.
+const answerGrace = 100 * time.Millisecond
+
 // Close stops accepting connections, closes idle ones, and waits until the requests on the others are answered. When
-// ctx is done, it aborts the remaining ones.
+// ctx is done, it cancels the remaining requests, and after answerGrace it aborts the connections that are still open.
 func (l *Listener) Close(ctx context.Context) {
 	l.StartShutdown()
 	done := make(chan struct{})
@@ -147,7 +150,15 @@
 	}()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
+	}
+	for _, c := range l.openConns() {
+		c.cancel()
+	}
+	select {
+	case <-done:
+	case <-time.After(answerGrace):
 		l.Abort()
 	}
 }
--- a/internal/listener/shutdown_test.go
+++ b/internal/listener/shutdown_test.go
@@ -157,3 +157,27 @@
 	}
 	_ = conn.Close()
 }
+
+// TestRequestIsAnsweredAtEndOfClose guards against requests that get no response because they are still running when
+// the time for closing has passed.
+func TestRequestIsAnsweredAtEndOfClose(t *testing.T) {
+	started := make(chan struct{})
+	l, address := startListener(t, func(ctx context.Context, _ *fasthttp.Request, resp *fasthttp.Response) {
+		close(started)
+		<-ctx.Done()
+		resp.SetStatusCode(fasthttp.StatusBadGateway)
+	})
+	_, reader := dialAndSend(t, address, getRequest("/slow"))
+	<-started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		l.Close(ctx)
+	}()
+	if got := readResponse(t, reader).StatusCode(); got != fasthttp.StatusBadGateway {
+		t.Errorf("got status %d", got)
+	}
+	<-closed
+}
