Keep SIGHUP caught while a node drains

What callers saw: a node that was asked to read its settings again while it drained ended at once. Every request that it still had was cut without an answer, its own and those that it relayed, and no line was written.

Cause: the signal was caught only while the settings were watched, which ends with SIGTERM. Giving up the only channel for it restores the default action, which ends the process. The same held from the start of the process until the node had started.

Fix: the signal is caught before anything else is done and until the process ends.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -34,6 +34,9 @@
 	if err := requireNoArguments(command); err != nil {
 		return err
 	}
+	// The signal stays caught to the end of the process, which it would otherwise end at once.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := command.String("settings")
 	settings, err := platform.Load(path)
 	if err != nil {
@@ -68,7 +71,7 @@
 	if err := server.Serve(settings.ReadyAddress); err != nil {
 		return err
 	}
-	watchSettings(ctx, path, node)
+	watchSettings(ctx, hangups, path, node)
 	node.DrainFor(settings.DrainTimes())
 	closing, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
 	defer cancel()
@@ -80,12 +83,9 @@
 // reloadInterval is the interval between checks of the settings file, which can change without a signal.
 const reloadInterval = time.Second
 
-// watchSettings reloads the settings file after each SIGHUP or change of its modification time, until ctx
+// watchSettings reloads the settings file after each signal in hangups or change of its modification time, until ctx
 // is done. If the file can't be read, the node keeps its settings.
-func watchSettings(ctx context.Context, path string, node *relayer.Node) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, node *relayer.Node) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastModTime := modTime(path)
