Refuse a request at once that would wait where no slot is left

What callers saw: a request waited for its whole deadline, or until the node that drained was closed and cut it without an answer.

Cause: whether a node drains, or its upstream leaves, was looked at once, when an attempt arrives. An attempt that a full node hands to a sibling comes back when the sibling drains as well, and a probe of the load takes time too. The attempt then joined a queue that had been flushed, had no slots, and that nothing would flush again unless another run ended.

Fix: the state is looked at under the lock under which the attempt joins the queue.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -399,6 +399,12 @@
 	if x.Attempt.Grant != 0 {
 		return nil
 	}
+	return e.stateRefusal(x)
+}
+
+// stateRefusal returns a refusal if the node drains or its upstream is not ready for the attempt, or nil. It is called
+// with mu held.
+func (e *Executor) stateRefusal(x *Execution) *refuser.Refusal {
 	state := e.announcement.State
 	if e.draining.Load() || state == announcer.StateDraining {
 		return refuser.New(refuser.ReasonDraining, "the server is leaving")
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -34,9 +34,7 @@
 func (e *Executor) awaitDecision(ctx context.Context, x *Execution, arrived time.Time) (scheduler.Decision, *scheduler.Waiter, *refuser.Refusal) {
 	w := scheduler.NewWaiter(arrived, e.class(x), x.Deadline)
 	w.UsefulUntil = x.usefulUntil(arrived)
-	e.mu.Lock()
-	queued, refusal := e.schedule.Submit(e.Clock.Now(), w)
-	e.mu.Unlock()
+	queued, refusal := e.submit(x, w)
 	if !queued {
 		return scheduler.Decision{}, w, refusal
 	}
@@ -52,6 +50,17 @@
 	}
 }
 
+// submit passes the attempt's waiter to the scheduler. The node may have begun to drain, or lost its upstream, since the
+// attempt arrived: nothing would then take the waiter from the queue.
+func (e *Executor) submit(x *Execution, w *scheduler.Waiter) (queued bool, refusal *refuser.Refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if refusal := e.stateRefusal(x); refusal != nil {
+		return false, refusal
+	}
+	return e.schedule.Submit(e.Clock.Now(), w)
+}
+
 // withdraw removes a cancelled waiter from the queue, or returns the slot that it was granted meanwhile.
 func (e *Executor) withdraw(w *scheduler.Waiter) (scheduler.Decision, *scheduler.Waiter, *refuser.Refusal) {
 	e.mu.Lock()
