Answer what a draining node still has at its end, and begin nothing that outlasts it

What callers saw: requests that began shortly before a node ended its notice, on routes longer than what was left, were cut without an answer when the process ended, 0.3 s after the limit of its drain. Which end of the path drained made no difference; what an upstream was at work on was cut with them.

Cause: nothing answered a request that was still running at the limit, and nothing refused one whose deadline lay behind it. A request that isn't idempotent was not cancelled at all and ran until the connection was closed over it.

Once the notice is over, calls whose deadline lies behind the end of the drain are refused as not run, to be sent elsewhere at once; calls nested in a request that runs here end with it and are taken. At the limit whatever runs is cancelled and answered: not run, or outcome unknown.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -40,6 +40,8 @@
 	// noUpstreamRetry is the time after which a retry can succeed if a service has no ready upstream or no
 	// configuration is in force.
 	noUpstreamRetry = 300 * time.Millisecond
+	// drainingRetry is the time after which a caller can retry at another node if this one is draining.
+	drainingRetry = 50 * time.Millisecond
 )
 
 // Targets picks the nodes that attempts are sent to and records outcomes of these nodes.
@@ -148,8 +150,10 @@
 	Config
 
 	callSequence atomic.Uint64
-	latencies    latencyEstimates
-	table        atomic.Pointer[routingTable]
+	// end is when this node ends, or nil.
+	end       atomic.Pointer[time.Time]
+	latencies latencyEstimates
+	table     atomic.Pointer[routingTable]
 }
 
 // routingTable is what the dispatcher derives from a configuration document.
@@ -175,6 +179,12 @@
 	d.table.Store(&routingTable{document: document, matcher: validator.NewMatcher(document), splits: splits})
 }
 
+// RefuseBeyond makes the dispatcher refuse calls whose deadline lies after end, when this node ends: their responses
+// could come too late to be passed on.
+func (d *Dispatcher) RefuseBeyond(end time.Time) {
+	d.end.Store(&end)
+}
+
 // Dispatch serves the caller's request and writes the response to resp, or returns the refusal.
 func (d *Dispatcher) Dispatch(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) *refuser.Refusal {
 	call, refusal := d.newCall(d.Clock.Now(), req)
@@ -236,9 +246,19 @@
 	if parsed.Timeout > 0 && now.Add(parsed.Timeout).Before(call.Deadline) {
 		call.Deadline = now.Add(parsed.Timeout)
 	}
+	if d.canOutlastNode(call) {
+		return call, refuser.NewWithRetryAfter(refuser.ReasonDraining, drainingRetry, "this node ends before the deadline")
+	}
 	return call, call.readIdempotencyKey(req)
 }
 
+// canOutlastNode reports whether the call's deadline lies after the end of this node. A call nested in one that runs at the
+// upstream beside the node does not count, since both end together.
+func (d *Dispatcher) canOutlastNode(call *Call) bool {
+	end := d.end.Load()
+	return end != nil && call.ParentCall == "" && call.Deadline.After(*end)
+}
+
 // applyRoute sets the fields that the route determines.
 func (c *Call) applyRoute(route *validator.Route, table *routingTable) {
 	c.Attempts = route.Attempts
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -142,6 +142,9 @@
 	document         atomic.Pointer[validator.Document]
 	draining         atomic.Bool
 	safeFingerprints *quarantiner.SafeFingerprints
+	// stopped is cancelled by stop when running requests are to end.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu           sync.Mutex
 	announcement announcer.Announcement
@@ -158,7 +161,10 @@
 
 // New returns an executor whose upstream is gone until HandleAnnouncement is called.
 func New(config Config) *Executor {
+	stopped, stop := context.WithCancel(context.Background())
 	return &Executor{
+		stopped:          stopped,
+		stop:             stop,
 		Config:           config,
 		announcement:     announcer.Announcement{State: announcer.StateGone},
 		grants:           make(map[uint64]*scheduler.Waiter),
@@ -234,6 +240,11 @@
 	e.applyLimit()
 }
 
+// Stop cancels the non-idempotent requests that are running at the upstream. The others end with their callers.
+func (e *Executor) Stop() {
+	e.stop()
+}
+
 // Running returns the number of requests that are running at the upstream.
 func (e *Executor) Running() int {
 	e.mu.Lock()
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -47,7 +47,9 @@
 	}
 	if !x.Attempt.Idempotent {
 		// A non-idempotent request is not cancelled once it has started, so that its outcome can be queried.
-		ctx = context.WithoutCancel(ctx)
+		uncancelled, release := e.withoutCancel(ctx)
+		defer release()
+		ctx = uncancelled
 	}
 	out := &fasthttp.Request{}
 	x.Request.Header.CopyTo(&out.Header)
@@ -102,6 +104,16 @@
 	steady bool
 }
 
+// withoutCancel returns a copy of ctx that only Stop cancels, and a function to call when it is no longer used.
+func (e *Executor) withoutCancel(ctx context.Context) (uncancelled context.Context, release func()) {
+	uncancelled, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	unregister := context.AfterFunc(e.stopped, cancel)
+	return uncancelled, func() {
+		unregister()
+		cancel()
+	}
+}
+
 // registerRun registers the attempt as in flight. It reports false when both this request and another one in
 // flight are crash suspects: suspects with different fingerprints don't run at the same time, so that the
 // next crash shows which of them caused it. If the upstream now serves another service, nothing is registered
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
@@ -77,29 +78,43 @@
 }
 
 // DrainFor hands new work to other nodes and finishes what is in flight. For the time notice the node serves as
-// before, because callers need it to notice that the node is not ready. Then no more requests are accepted. The
-// upstream keeps running for the node's next start. DrainFor returns when nothing is in flight, or when the time limit
-// has passed since the call.
+// before, because callers need it to notice that the node is not ready. Then the upstream gets no more attempts, and
+// calls that can outlast the drain are refused. The upstream keeps running for the node's next start. DrainFor returns when
+// nothing is in flight, or soon after the time limit has passed since the call.
 func (n *Node) DrainFor(notice, limit time.Duration) {
 	n.log.Info("Draining.", "away", notice, "most", limit)
 	started := n.clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	context.AfterFunc(ctx, n.executor.Stop)
 	n.draining.Store(true)
 	for _, l := range n.requestListeners {
 		l.Drain()
 	}
-	time.Sleep(notice)
+	timekeeper.Sleep(ctx, n.clock, notice)
+	n.dispatcher.RefuseBeyond(started.Add(limit))
+	n.leaveService()
+	timekeeper.Sleep(ctx, n.clock, min(rerouteDelay, notice))
+	if n.callerListener != nil {
+		n.callerListener.Close(ctx)
+	}
+	awaitZero(ctx, n.inFlight)
+	n.gossiper.Leave()
+	n.log.Info("Drained.", "in-flight", n.inFlight(), "took", n.clock.Now().Sub(started))
+}
+
+// leaveService announces that the upstream takes no more attempts and refuses those that are queued.
+func (n *Node) leaveService() {
 	self := n.gossiper.Self()
 	n.gossiper.SetUpstream(self.Service, self.Slots, announcer.StateDraining)
 	n.executor.Drain()
-	time.Sleep(min(rerouteDelay, notice))
-	if n.callerListener != nil {
-		n.callerListener.StartShutdown()
-	}
-	for n.inFlight() > 0 && n.clock.Now().Sub(started) < limit {
+}
+
+// awaitZero waits until count returns zero or ctx is done.
+func awaitZero(ctx context.Context, count func() int) {
+	for count() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	n.gossiper.Leave()
-	n.log.Info("Drained.", "in-flight", n.inFlight(), "took", n.clock.Now().Sub(started))
 }
 
 // rerouteDelay is how long the other nodes take to send their attempts elsewhere.
