--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -221,12 +221,12 @@
 	return c.closing || c.listener.closed.Load() || time.Since(c.idleSince) >= c.listener.Limits().IdleTimeout
 }
 
-// startReceiving notes that a request has begun to arrive. It returns false if the request is not to be read: it is
-// behind the last one, or behind others on a listener that has been closed.
+// startReceiving notes that a request has begun to arrive. It returns false if the request is behind the last one, and
+// so is not to be read.
 func (c *conn) startReceiving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || (c.listener.closed.Load() && len(c.queue) > 0) {
+	if c.closing {
 		return false
 	}
 	c.receiving = true
