End the notice of a planned stop where its requests can still be finished

Requests that came 3.0 to 3.2 s after SIGTERM were taken whatever their deadline, though the drain ends at 5.4 s.

--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// rerouteDelay is how long the other nodes take to send their attempts elsewhere.
-const rerouteDelay = 100 * time.Millisecond
+// rerouteDelay is how long the other nodes take to send their attempts elsewhere, and late callers theirs.
+const rerouteDelay = 300 * time.Millisecond
 
 func (n *Node) inFlight() int {
 	count := n.executor.Running()
