Complete an interrupted change of replicas in two steps

An operator could read an older configuration than one that had been acknowledged, with no disk lost: after the change of one replica had been interrupted twice, two sets of replicas each took their own changes.

Cause: a round that found a value with a previous set proposed its successor, which names the new set alone, without knowing whether the joint value was chosen. If both rounds reached only a, b and the new f, then a majority of the new set (a, b, f) held a value that no longer names the old set, while a majority of the old one (c, d, e) held neither. A proposer that starts from what a has accepted then needed a majority of the new set only.

Now such a round first gets the joint value chosen as it is, by majorities of both sets, and goes on with a new ballot; a proposer that knows the joint value to be chosen needs no further ballot. Every majority of the old set then holds the joint value, so whoever starts from the old set asks the new one as well.

The test fails on the code before: "version 1 was read after version 2 was acknowledged".

--- a/internal/replicator/bootstrap.go
+++ b/internal/replicator/bootstrap.go
@@ -22,7 +22,7 @@
 	if err := p.prepareAll(ctx, ballot, change.Replicas, replies); err != nil {
 		return nil, err
 	}
-	if newest := newestValue(replies); newest != nil {
+	if newest := newestValue(replies).Value; newest != nil {
 		if version, ok := newest.appliedVersion(change.ID); ok && version == 1 {
 			p.SetConfirmedReplicas(newest.Replicas)
 			return p.Read(ctx)
@@ -43,7 +43,7 @@
 	if err := p.prepareAll(ctx, ballot, replicas, replies); err != nil {
 		return nil, err
 	}
-	if newestValue(replies) != nil {
+	if newestValue(replies).Value != nil {
 		p.SetUnconfirmedReplicas(replicas)
 		return p.runRound(ctx, noChange)
 	}
--- /dev/null
+++ b/internal/replicator/interruption_test.go
@@ -0,0 +1,78 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+)
+
+// limitedAccepts is a transport whose accept requests reach only some VMs, like those of a proposer that dies while it
+// sends them.
+type limitedAccepts struct {
+	Transport
+	reached []string
+}
+
+// Accept implements Transport.
+func (l limitedAccepts) Accept(ctx context.Context, vm string, request AcceptRequest) (AcceptReply, error) {
+	if !slices.Contains(l.reached, vm) {
+		return AcceptReply{}, errMessageLost
+	}
+	return l.Transport.Accept(ctx, vm, request)
+}
+
+// dyingProposer returns a proposer whose accept requests reach only the given VMs.
+func (c *cluster) dyingProposer(name string, replicas []Replica, reached ...string) *Proposer {
+	p := NewProposer(c.proposer("x", nil).clock, name, limitedAccepts{Transport: c, reached: reached})
+	p.SetConfirmedReplicas(replicas)
+	return p
+}
+
+// setCut separates the VMs from the proposers, or reconnects them.
+func (c *cluster) setCut(cut bool, vms ...string) {
+	for _, vm := range vms {
+		c.setUnreachable(vm, cut)
+	}
+}
+
+// TestInterruptedReconfigurationIsNotCompletedOnNewSetAlone interrupts the change of one replica of five, and again the
+// round that is to complete it, on a and b of the old set and f of the new one. The other three then acknowledge
+// a change of the document. A proposer that starts from what a has accepted must not read the version before it.
+func TestInterruptedReconfigurationIsNotCompletedOnNewSetAlone(t *testing.T) {
+	c := newCluster(t, "a", "b", "c", "d", "e", "f")
+	replicas := c.bootstrap("a", "b", "c", "d", "e")
+	next := c.replicas("a", "b", "c", "d", "f")
+	revision := uint64(1)
+	if _, err := c.dyingProposer("p1", replicas, "a").Reconfigure(t.Context(), revision, next); !errors.Is(err, ErrNoMajority) {
+		t.Fatalf("a change of the replicas that reached one of them: %v", err)
+	}
+	c.setCut(true, "d", "e")
+	if _, err := c.dyingProposer("p2", replicas, "a", "b", "f").Read(t.Context()); !errors.Is(err, ErrNoMajority) {
+		t.Fatalf("a round that reached two of the five replicas: %v", err)
+	}
+	c.setCut(false, "d", "e")
+	c.setCut(true, "a", "b", "f")
+	_, version, err := c.proposer("p3", replicas).Apply(t.Context(), change("c1", 1, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.setCut(false, "a", "b", "f")
+	c.setCut(true, "c", "d", "e")
+	reader := NewProposer(c.proposer("x", nil).clock, "reader", c)
+	reader.SetUnconfirmedReplicas(c.accepted("a").Replicas)
+	if value, err := reader.Read(t.Context()); err == nil && value.Version < version {
+		t.Errorf("version %d was read after version %d was acknowledged", value.Version, version)
+	}
+	c.setCut(false, "c", "d", "e")
+	if value, err := reader.Read(t.Context()); err != nil || value.Version != version {
+		t.Errorf("read %+v, %v with all replicas, want version %d", value, err, version)
+	}
+}
+
+// accepted returns the value that the VM's replica has accepted.
+func (c *cluster) accepted(vm string) *Value {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.acceptors[vm].Accepted()
+}
--- a/internal/replicator/phases.go
+++ b/internal/replicator/phases.go
@@ -28,26 +28,26 @@
 }
 
 // prepare runs the prepare phase on the known replicas and, if the newest value names other replicas, on those
-// as well. It returns the newest value, or nil if there is none, and the sets of replicas that must accept a
-// successor.
-func (p *Proposer) prepare(ctx context.Context, ballot Ballot, known []Replica) (*Value, [][]Replica, error) {
+// as well. It returns the newest value with the ballot under which it was accepted, without a value if there is none,
+// and the sets of replicas that must accept a successor.
+func (p *Proposer) prepare(ctx context.Context, ballot Ballot, known []Replica) (acceptedValue, [][]Replica, error) {
 	sets := [][]Replica{known}
 	replies := make(map[Replica]PrepareReply)
 	for range maxPreparePasses {
 		if err := p.prepareSets(ctx, ballot, sets, replies); err != nil {
-			return nil, nil, err
+			return acceptedValue{}, nil, err
 		}
 		newest := newestValue(replies)
-		if newest == nil {
-			return nil, sets, nil
+		if newest.Value == nil {
+			return newest, sets, nil
 		}
-		required := quorumSets(newest)
+		required := quorumSets(newest.Value)
 		if containsSets(sets, required) {
 			return newest, required, nil
 		}
 		sets = append(required, known)
 	}
-	return nil, nil, fmt.Errorf("%w: the set of replicas keeps changing", ErrNoMajority)
+	return acceptedValue{}, nil, fmt.Errorf("%w: the set of replicas keeps changing", ErrNoMajority)
 }
 
 // containsSets reports whether every required set is among the sets.
@@ -61,18 +61,16 @@
 	return true
 }
 
-// newestValue returns the value that was accepted under the highest ballot, or nil if there is none.
-func newestValue(replies map[Replica]PrepareReply) *Value {
-	var newest *PrepareReply
+// newestValue returns the value that was accepted under the highest ballot, with that ballot. Its value is nil if there
+// is none.
+func newestValue(replies map[Replica]PrepareReply) acceptedValue {
+	var newest acceptedValue
 	for _, reply := range replies {
-		if reply.Value != nil && (newest == nil || newest.Accepted.Less(reply.Accepted)) {
-			newest = &reply
+		if reply.Value != nil && newest.Ballot.Less(reply.Accepted) {
+			newest = acceptedValue{Ballot: reply.Accepted, Value: reply.Value}
 		}
 	}
-	if newest == nil {
-		return nil
-	}
-	return newest.Value
+	return newest
 }
 
 // prepareSets sends the ballot to the replicas of the sets that are not yet in replies and adds their promises
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -29,6 +29,9 @@
 	ErrBootstrapped = merry.Sentinel("a control replica already holds a document")
 	// errPreempted is returned by a ballot that lost to a higher one; the round retries with a new ballot.
 	errPreempted = merry.Sentinel("another round has a higher ballot")
+	// errJointChosen is returned by a ballot that has got the newest value chosen as it is; the round goes on from that
+	// value with a new ballot.
+	errJointChosen = merry.Sentinel("a change of the replicas had been interrupted")
 )
 
 // ConflictError is the error of a change whose base version is not the current one. It wraps ErrConflict.
@@ -250,6 +253,9 @@
 	for {
 		*count++
 		value, err := p.runBallot(ctx, update)
+		if errors.Is(err, errJointChosen) {
+			continue
+		}
 		if !errors.Is(err, errPreempted) {
 			return value, err
 		}
@@ -269,13 +275,17 @@
 		return nil, ErrNotBootstrapped
 	}
 	ballot := p.nextBallot()
-	current, sets, err := p.prepare(ctx, ballot, replicas)
+	newest, sets, err := p.prepare(ctx, ballot, replicas)
 	if err != nil {
 		return nil, err
 	}
+	current := newest.Value
 	if current == nil {
 		return nil, ErrNotBootstrapped
 	}
+	if len(current.Previous) > 0 && newest.Ballot != p.lastChosen().Ballot {
+		return nil, p.chooseJoint(ctx, ballot, current, sets)
+	}
 	next, updateErr := update(current)
 	if next == current {
 		next = current.withoutPrevious()
@@ -289,6 +299,17 @@
 	return next, updateErr
 }
 
+// chooseJoint gets a value with a previous set accepted as it is by a majority of both sets, and then returns
+// errJointChosen. No successor may be proposed before: it names the new set alone, so a majority of that set would pass
+// it on while a majority of the previous set, which knows of neither value, passes on another one.
+func (p *Proposer) chooseJoint(ctx context.Context, ballot Ballot, joint *Value, sets [][]Replica) error {
+	if err := p.accept(ctx, ballot, joint, sets, nil); err != nil {
+		return err
+	}
+	p.setChosen(ballot, joint)
+	return errJointChosen
+}
+
 // setChosen stores a value that was chosen, unless a newer one is stored, and makes its replicas the known ones.
 func (p *Proposer) setChosen(ballot Ballot, value *Value) {
 	p.mu.Lock()
