Complete a change of replicas whose last step failed

An operator could lose the configuration for good, with two disks lost at a time: after the disks of d and e were replaced, the register still needed a majority of the old set; once a and b were lost as well, no read could succeed.

Cause: if the round that drops the previous set failed, for instance because the network was cut just then, the value was put in force as it was. Its revision is that of the complete one, so no replica noticed, and the maintainer saw the wanted set. Only the next read or change by an operator completed it.

Evidence: without the repair the read of the new test fails from each of the three replicas that are left.

--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -394,7 +394,7 @@
 }
 
 // learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done: the
-// proposer may have died before it could push the value.
+// proposer may have died before it could push the value, or before a change of the replicas was complete.
 func (n *Node) learnChosen(ctx context.Context) {
 	acceptor := n.register.acceptor
 	if acceptor == nil {
@@ -402,7 +402,7 @@
 	}
 	runEvery(ctx, learnInterval, func() {
 		accepted := acceptor.Accepted()
-		if accepted == nil || accepted.Revision <= n.revision() {
+		if accepted == nil || !needsRound(accepted, n.revision()) {
 			return
 		}
 		if leader, ok := n.register.leader(); ok && leader.Name != n.settings.Name && rand.N(nonLeaderLearnDivisor) != 0 {
@@ -412,6 +412,27 @@
 		roundCtx, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
 		// A failed round is retried at a later interval.
-		_, _ = n.register.Read(roundCtx)
+		_ = n.register.learn(roundCtx, accepted)
 	})
 }
+
+// needsRound reports whether a replica that has accepted the value has to run a round: the value is newer than the
+// revision in force, or it needs a majority of its previous replicas as well, whose disks may be lost for good.
+func needsRound(accepted *replicator.Value, revision uint64) bool {
+	return accepted.Revision > revision || len(accepted.Previous) > 0
+}
+
+// learn puts the newest chosen value in force. If the accepted one has a previous set of replicas, it runs a round even
+// if the others need none, because that brings this replica up to date.
+func (r *register) learn(ctx context.Context, accepted *replicator.Value) error {
+	if len(accepted.Previous) == 0 {
+		_, err := r.Read(ctx)
+		return err
+	}
+	r.assumeAcceptedReplicas()
+	value, err := r.proposer.Repair(ctx)
+	if err != nil {
+		return err
+	}
+	return r.publish(value)
+}
--- a/internal/replicator/interruption_test.go
+++ b/internal/replicator/interruption_test.go
@@ -76,3 +76,35 @@
 	defer c.mu.Unlock()
 	return c.acceptors[vm].Accepted()
 }
+
+// TestRepairCompletesReconfiguration replaces two lost disks of five and interrupts the change before the old set is
+// dropped. Once it is repaired, two further disks are lost: the newest version must still be read, from each replica
+// that is left.
+func TestRepairCompletesReconfiguration(t *testing.T) {
+	c := newCluster(t, "a", "b", "c", "d", "e")
+	replicas := c.bootstrap("a", "b", "c", "d", "e")
+	if _, _, err := c.proposer("p", replicas).Apply(t.Context(), change("c1", 1, nil)); err != nil {
+		t.Fatal(err)
+	}
+	c.wipe("d")
+	c.wipe("e")
+	next := c.replicas("a", "b", "c", "d", "e")
+	joint, err := c.proposer("p2", replicas).runRound(t.Context(), func(current *Value) (*Value, error) {
+		return current.withReplicas(next), nil
+	})
+	if err != nil || len(joint.Previous) == 0 {
+		t.Fatalf("changing the replicas: %+v, %v", joint, err)
+	}
+	if value, err := c.proposer("p3", next).Repair(t.Context()); err != nil || len(value.Previous) > 0 {
+		t.Fatalf("repair: %+v, %v", value, err)
+	}
+	c.wipe("a")
+	c.wipe("b")
+	for _, vm := range []string{"c", "d", "e"} {
+		reader := NewProposer(c.proposer("x", nil).clock, "reader-"+vm, c)
+		reader.SetUnconfirmedReplicas(c.accepted(vm).Replicas)
+		if value, err := reader.Read(t.Context()); err != nil || value.Version != 2 {
+			t.Errorf("read %+v, %v from what %s has accepted, want version 2", value, err, vm)
+		}
+	}
+}
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -165,6 +165,12 @@
 	return p.runRound(ctx, noChange)
 }
 
+// Repair runs a round on the newest value. It completes a change of the replicas that was interrupted, and brings the
+// replicas that it reaches up to date.
+func (p *Proposer) Repair(ctx context.Context) (*Value, error) {
+	return p.runRound(ctx, noChange)
+}
+
 // Apply applies the change and returns the value in force and the version that the change created. A change
 // whose id was applied before is not applied again; its version is that of the first time. A change made
 // from another version than the newest returns a *ConflictError; one whose requested version is not above the
