Hand a replica over before its node ends on purpose

An operator could lose the configuration for good: a core machine was replaced on purpose, the new one first, and two disks were lost as the old one ended. The old machine no longer counts as lost then, since its successor has been there for long enough, but three of the register's five replicas were gone.

Cause: a spare node took a replica's place only once that replica had been gone for a second. A change of the replicas also had to do without the old one's vote.

A draining node now counts its own replica as one to replace, and changes the set itself at once if a spare node is there. Without a spare, as at a restart, nothing changes. A replica that is gone goes first where there is one spare for both.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -19,7 +19,9 @@
 	DiskID string
 	// Gone is true if the node has left or is believed dead.
 	Gone bool
-	Name string
+	// Leaving is true if the node is still running and will end on purpose.
+	Leaving bool
+	Name    string
 	// StateAge is how long the node has been in its current state.
 	StateAge time.Duration
 }
@@ -37,7 +39,8 @@
 
 // Next returns the set of replicas that should replace the one in force, and whether the two differ. A replica
 // whose node has another disk now moves to that disk. Further nodes are added up to TargetReplicas. After
-// that, a replica whose node is gone is replaced with a live node that holds no replica, if there is one.
+// that, a replica whose node is gone, or else leaving, is replaced with a live node that holds no replica, if there is
+// one.
 func Next(view View) ([]replicator.Replica, bool) {
 	next := slices.Clone(view.Replicas)
 	changed := replaceDisks(next, view.Candidates)
@@ -70,12 +73,12 @@
 	return changed
 }
 
-// spareReplicas returns the live nodes with a disk that hold no replica, in the order of their names.
+// spareReplicas returns the live nodes with a disk that stay and hold no replica, in the order of their names.
 func spareReplicas(replicas []replicator.Replica, candidates []Candidate) []replicator.Replica {
 	var spares []replicator.Replica
 	for _, candidate := range candidates {
 		isReplica := func(r replicator.Replica) bool { return r.VM == candidate.Name }
-		if !candidate.Gone && candidate.DiskID != "" && !slices.ContainsFunc(replicas, isReplica) {
+		if !candidate.Gone && !candidate.Leaving && candidate.DiskID != "" && !slices.ContainsFunc(replicas, isReplica) {
 			spares = append(spares, replicator.Replica{DiskID: candidate.DiskID, VM: candidate.Name})
 		}
 	}
@@ -83,21 +86,43 @@
 	return spares
 }
 
-// firstReplaceable returns the index of the first replica whose node counts as permanently gone, or -1. A node counts
-// as such after replacementDelay, or if it is unknown to a node that knows all others.
+// firstReplaceable returns the index of the first replica whose node counts as permanently gone or, if there is none, of
+// the first whose node is leaving, or -1.
 func firstReplaceable(replicas []replicator.Replica, view *View) int {
-	return slices.IndexFunc(replicas, func(replica replicator.Replica) bool {
-		i := slices.IndexFunc(view.Candidates, func(c Candidate) bool { return c.Name == replica.VM })
-		if i < 0 {
-			return view.KnowsAllNodes
-		}
-		return view.Candidates[i].Gone && view.Candidates[i].StateAge >= replacementDelay
-	})
+	gone := slices.IndexFunc(replicas, view.isGone)
+	if gone >= 0 {
+		return gone
+	}
+	return slices.IndexFunc(replicas, view.isLeaving)
+}
+
+// isGone reports whether the replica's node counts as permanently gone: after replacementDelay, or if it is unknown to
+// a node that knows all others.
+func (v *View) isGone(replica replicator.Replica) bool {
+	candidate, ok := v.candidate(replica.VM)
+	if !ok {
+		return v.KnowsAllNodes
+	}
+	return candidate.Gone && candidate.StateAge >= replacementDelay
+}
+
+func (v *View) isLeaving(replica replicator.Replica) bool {
+	candidate, ok := v.candidate(replica.VM)
+	return ok && candidate.Leaving
+}
+
+// candidate returns the candidate with the name, and whether it is known.
+func (v *View) candidate(name string) (Candidate, bool) {
+	i := slices.IndexFunc(v.Candidates, func(c Candidate) bool { return c.Name == name })
+	if i < 0 {
+		return Candidate{}, false
+	}
+	return v.Candidates[i], true
 }
 
 // ShouldAct reports whether the node self should make a change that has been due for the time waited. The live replicas
 // take turns in the order of their names: the first acts at once, each further one turnInterval later if the
-// change is still due.
+// change is still due. One that is leaving acts at once.
 func ShouldAct(view View, self string, waited time.Duration) bool {
 	var live []string
 	for _, replica := range view.Replicas {
@@ -109,6 +134,9 @@
 	}
 	slices.Sort(live)
 	position := slices.Index(live, self)
+	if candidate, ok := view.candidate(self); ok && candidate.Leaving {
+		return position >= 0
+	}
 	return position >= 0 && waited >= time.Duration(position)*turnInterval
 }
 
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -67,11 +67,15 @@
 	return view, want
 }
 
-// parseCandidate parses vm/disk or vm/disk/gone:DURATION.
+// parseCandidate parses vm/disk, vm/disk/leaving or vm/disk/gone:DURATION.
 func parseCandidate(t *testing.T, word string) Candidate {
 	t.Helper()
 	parts := strings.Split(word, "/")
 	candidate := Candidate{DiskID: parts[1], Name: parts[0], StateAge: time.Hour}
+	if len(parts) > 2 && parts[2] == "leaving" {
+		candidate.Leaving = true
+		return candidate
+	}
 	if len(parts) > 2 {
 		stateAge, err := time.ParseDuration(strings.TrimPrefix(parts[2], "gone:"))
 		if err != nil {
@@ -90,12 +94,14 @@
 	return strings.Join(words, " ")
 }
 
-// TestShouldActInOrderOfNames checks that the live replicas take turns in the order of their names and that gone nodes
-// and nodes without a replica never act.
+// TestShouldActInOrderOfNames checks that the live replicas take turns in the order of their names, that a leaving one
+// acts at once and that gone nodes and nodes without a replica never act.
 func TestShouldActInOrderOfNames(t *testing.T) {
 	view := View{
-		Candidates: []Candidate{{Name: "a", Gone: true}, {Name: "b"}, {Name: "c"}, {Name: "d"}},
-		Replicas:   []replicator.Replica{{VM: "c"}, {VM: "b"}, {VM: "a"}},
+		Candidates: []Candidate{
+			{Name: "a", Gone: true}, {Name: "b"}, {Name: "c"}, {Name: "d"}, {Name: "e", Leaving: true}, {Name: "f", Leaving: true},
+		},
+		Replicas: []replicator.Replica{{VM: "e"}, {VM: "c"}, {VM: "b"}, {VM: "a"}},
 	}
 	tests := []struct {
 		self   string
@@ -107,6 +113,8 @@
 		{"c", 0, false},
 		{"c", turnInterval, true},
 		{"d", time.Hour, false},
+		{"e", 0, true},
+		{"f", time.Hour, false},
 	}
 	for _, test := range tests {
 		if got := ShouldAct(view, test.self, test.waited); got != test.want {
--- a/internal/relayer/forming_test.go
+++ b/internal/relayer/forming_test.go
@@ -204,3 +204,30 @@
 	c.start(late)
 	c.awaitVersionEverywhere(7)
 }
+
+// TestReplicaIsHandedOverBeforePlannedExit adds a sixth node, drains one of the five replicas and loses two disks the
+// moment it is gone. The new node has been there for long enough that only two losses count, so the document must
+// still be read.
+func TestReplicaIsHandedOverBeforePlannedExit(t *testing.T) {
+	c := newFormingCluster(t, 5)
+	c.changeDocument(c.nodes[0], 0, 1)
+	c.awaitVersionEverywhere(1)
+	added := c.addNode()
+	added.settings.Seeds = c.nodes[0].settings.Seeds
+	c.start(added)
+	c.awaitVersionEverywhere(1)
+	leaving, lost := c.nodes[0], c.nodes[1:3]
+	c.nodes = c.nodes[1:]
+	leaving.DrainFor(2*time.Second, 3*time.Second)
+	leaving.Abort()
+	for _, node := range lost {
+		node.Abort()
+	}
+	for _, node := range lost {
+		node.settings.DataFolder = t.TempDir()
+		node.settings.Bootstrap = false
+		c.start(node)
+	}
+	c.await("the replicas after the losses", func() bool { return len(readReplicas(added)) == 5 })
+	c.awaitVersionEverywhere(1)
+}
--- a/internal/relayer/maintain.go
+++ b/internal/relayer/maintain.go
@@ -63,7 +63,8 @@
 	for _, record := range n.gossiper.Records() {
 		if record.DiskID != "" {
 			view.Candidates = append(view.Candidates, maintainer.Candidate{
-				DiskID: record.DiskID, Gone: record.Status >= gossiper.StatusDead, Name: record.Name, StateAge: record.Age,
+				DiskID: record.DiskID, Gone: record.Status >= gossiper.StatusDead,
+				Leaving: record.Name == n.settings.Name && n.draining.Load(), Name: record.Name, StateAge: record.Age,
 			})
 		}
 	}
