Sync the folder above a new data folder, and test records on a simulated disk

An operator who names a data folder that doesn't exist yet could lose a replica at a loss of power: the folder was created, the records in it were synced, but its own name in the folder above was not. If all machines lose power soon after the first start, all replicas are lost at once. The platform is not affected, since its data folder exists.

The persister now takes its file system as an interface. internal/diskfaker simulates one in memory: a loss of power keeps, loses or tears each write that was not synced, and keeps or loses each name whose folder was not; operations can be refused, and a refused write leaves its first half. No other fault was found.

--- a/internal/persister/persister.go
+++ b/internal/persister/persister.go
@@ -6,9 +6,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
-	"syscall"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -53,9 +53,10 @@
 
 // Folder holds records, one per file, and is locked against other processes. It is not safe for concurrent use.
 type Folder struct {
-	lock     *os.File
-	path     string
-	stepHook func(Step, string) error
+	fileSystem FileSystem
+	lock       io.Closer
+	path       string
+	stepHook   func(Step, string) error
 }
 
 // Option configures a Folder in Open.
@@ -67,31 +68,46 @@
 	return func(folder *Folder) { folder.stepHook = hook }
 }
 
-// Open opens and locks the folder at path, and creates it if it does not exist. The error wraps ErrInUse if the
-// lock is held elsewhere.
+// WithFileSystem sets the file system that the folder is stored in, instead of that of the operating system.
+func WithFileSystem(fileSystem FileSystem) Option {
+	return func(folder *Folder) { folder.fileSystem = fileSystem }
+}
+
+// Open opens the folder at path and locks it until Close is called or the process ends. It creates the folder if it
+// does not exist. The error wraps ErrInUse if the lock is held elsewhere.
 func Open(path string, options ...Option) (*Folder, error) {
-	if err := os.MkdirAll(path, folderMode); err != nil {
-		return nil, err
-	}
-	folder := &Folder{path: path, stepHook: func(Step, string) error { return nil }}
+	folder := &Folder{fileSystem: operatingSystem{}, path: path, stepHook: func(Step, string) error { return nil }}
 	for _, option := range options {
 		option(folder)
 	}
-	return folder, folder.acquireLock()
+	if err := folder.create(path); err != nil {
+		return nil, err
+	}
+	lock, err := folder.fileSystem.Lock(filepath.Join(path, lockName))
+	if err != nil {
+		return nil, err
+	}
+	folder.lock = lock
+	return folder, nil
 }
 
-// acquireLock locks the folder until Close is called or the process ends.
-func (f *Folder) acquireLock() error {
-	path := filepath.Join(f.path, lockName)
-	lock, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, recordMode)
+// create creates the folder at path, and those above it, unless it exists. A new folder survives a crash only after
+// the one above it has been synced.
+func (f *Folder) create(path string) error {
+	err := f.fileSystem.Mkdir(path)
+	if errors.Is(err, os.ErrExist) {
+		return nil
+	}
+	if errors.Is(err, os.ErrNotExist) {
+		if err := f.create(filepath.Dir(path)); err != nil {
+			return err
+		}
+		err = f.fileSystem.Mkdir(path)
+	}
 	if err != nil {
 		return err
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrInUse, path, errors.Join(err, lock.Close()))
-	}
-	f.lock = lock
-	return nil
+	return f.fileSystem.SyncFolder(filepath.Dir(path))
 }
 
 // Close releases the lock, so that another process can open the folder.
@@ -101,9 +117,9 @@
 
 // IsEmpty reports whether the folder contains no record, neither a complete one nor a partly written one.
 func (f *Folder) IsEmpty() (bool, error) {
-	entries, err := os.ReadDir(f.path)
-	for _, entry := range entries {
-		if entry.Name() != lockName {
+	names, err := f.fileSystem.ReadNames(f.path)
+	for _, name := range names {
+		if name != lockName {
 			return false, err
 		}
 	}
@@ -114,7 +130,7 @@
 // is damaged.
 func (f *Folder) Read(name string) ([]byte, error) {
 	path := filepath.Join(f.path, name)
-	data, err := os.ReadFile(path)
+	data, err := f.fileSystem.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("%w: %s", ErrMissing, path)
 	}
@@ -142,13 +158,13 @@
 	if err := f.stepHook(StepBeforeRename, name); err != nil {
 		return err
 	}
-	if err := os.Rename(temporary, path); err != nil {
+	if err := f.fileSystem.Rename(temporary, path); err != nil {
 		return err
 	}
 	if err := f.stepHook(StepAfterRename, name); err != nil {
 		return err
 	}
-	if err := f.syncFolder(); err != nil {
+	if err := f.fileSystem.SyncFolder(f.path); err != nil {
 		return merry.Prepend(err, f.path)
 	}
 	return f.stepHook(StepAfterFolderSync, name)
@@ -156,7 +172,7 @@
 
 // writeSynced writes the data to the file at path and syncs it to disk.
 func (f *Folder) writeSynced(path, name string, data []byte) (err error) {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, recordMode)
+	file, err := f.fileSystem.Create(path)
 	if err != nil {
 		return err
 	}
@@ -173,16 +189,6 @@
 	return f.stepHook(StepAfterSync, name)
 }
 
-// syncFolder syncs the folder itself, so that a rename in it survives a crash.
-func (f *Folder) syncFolder() (err error) {
-	folder, err := os.Open(f.path)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.Join(err, folder.Close()) }()
-	return folder.Sync()
-}
-
 // frame returns the content of a record file: magic, the length of the content and its xxHash64, both as 8 bytes in
 // little-endian order, and the content.
 func frame(content []byte) []byte {
