Let a member drain for good, whatever its upstream announces

Other nodes then send it attempts, which it refuses, up to the moment at which it closes its peers' connections; a request that isn't idempotent and crosses that close has an unknown outcome.

Cause: the drain and the announcements set the same field of the member's record, and the later one wins. The executor ignores announcements once it drains, gossip did not.

Gossiper.Drain sets the state for good; only the end of the process still shows. TestDrainOutlastsAnnouncements tests it in the simulated network.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -100,6 +100,7 @@
 	// probeQueue holds the names of the members still to be probed in this round.
 	probeQueue []string
 	lastProbe  time.Time
+	isDraining bool
 	hasLeft    bool
 	members    map[string]*entry
 	// lastOrder is the order number of the newest update.
@@ -271,13 +272,30 @@
 }
 
 // SetUpstream updates the service, slots and state of the local upstream in the member's own record and
-// spreads the change.
+// spreads the change. After Drain no upstream becomes ready.
 func (g *Gossiper) SetUpstream(service string, slots int, state announcer.State) {
 	g.mu.Lock()
 	self := g.members[g.self].Member
 	self.Service = service
 	self.Slots = slots
 	self.Upstream = state
+	if g.isDraining && state == announcer.StateReady {
+		self.Upstream = announcer.StateDraining
+	}
+	g.putSelf(self)
+}
+
+// Drain announces to the other members that this one gets no more attempts, whatever its upstream announces.
+func (g *Gossiper) Drain() {
+	g.mu.Lock()
+	g.isDraining = true
+	self := g.members[g.self].Member
+	self.Upstream = announcer.StateDraining
+	g.putSelf(self)
+}
+
+// putSelf stores and spreads a change of the member's own record. It is called with mu held and releases it.
+func (g *Gossiper) putSelf(self Member) {
 	self.Sequence++
 	g.put(self)
 	g.changed = append(g.changed, self)
--- a/internal/gossiper/restart_test.go
+++ b/internal/gossiper/restart_test.go
@@ -67,3 +67,26 @@
 		}
 	}
 }
+
+// TestDrainOutlastsAnnouncements guards against a draining member that is sent attempts again, because a new process of
+// its upstream has announced itself as ready.
+func TestDrainOutlastsAnnouncements(t *testing.T) {
+	n := newNetwork(t, 3)
+	n.run(10 * time.Second)
+	draining := n.gossipers[memberName(1)]
+	draining.SetUpstream("s1", 12, announcer.StateReady)
+	draining.Drain()
+	draining.SetUpstream("s1", 6, announcer.StateReady)
+	spread, ok := n.runUntil(maxDrainDelay, func(g *Gossiper) bool {
+		m, _ := g.Member(memberName(1))
+		return m.Slots == 6 && m.Upstream == announcer.StateDraining
+	})
+	t.Logf("all members know of the new process after %s", spread)
+	if !ok {
+		t.Error("some members take the draining member for a serving one")
+	}
+	draining.SetUpstream("s1", 6, announcer.StateGone)
+	if got := draining.Self().Upstream; got != announcer.StateGone {
+		t.Errorf("the upstream that has ended is listed as %s", got)
+	}
+}
