Pass the changes of a member to the observer in their order

Two goroutines that change the view at the same moment, the receiver of datagrams and a comparison of views for example, each passed its own changes to the observer after it had released the lock. A goroutine that was preempted in between passed an old record after a newer one. The router then kept the old one until the member's next change: it sent attempts to a node that had left, or none to one that served, which is refused as "no server is ready" where it is the only one.

TestObserverSeesChangesInOrder holds the first of two changes up in the observer: on the code before, the order was wrong in 20 of 20 runs. That the users met it is not shown.

Now one goroutine at a time passes all collected events on, and the others leave theirs to it. 100 of 100 runs pass with the race detector, and so do the tests of the package.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -100,9 +100,11 @@
 	// probeQueue holds the names of the members still to be probed in this round.
 	probeQueue []string
 	lastProbe  time.Time
-	isDraining bool
 	hasLeft    bool
-	members    map[string]*entry
+	isDraining bool
+	// isNotifying is set while a goroutine passes events to the observer, also those of others.
+	isNotifying bool
+	members     map[string]*entry
 	// lastOrder is the order number of the newest update.
 	lastOrder int
 	// outbox holds the datagrams to be sent when mu is released.
@@ -241,12 +243,31 @@
 // unlockAndFlush releases mu, sends the queued datagrams and passes the collected events to the
 // observer.
 func (g *Gossiper) unlockAndFlush() {
-	outbox, changed, senderStates := g.outbox, g.changed, g.senderStates
-	g.outbox, g.changed, g.senderStates = nil, nil, nil
+	outbox := g.outbox
+	g.outbox = nil
+	isNotifying := g.isNotifying
+	g.isNotifying = true
 	g.mu.Unlock()
 	for _, d := range outbox {
 		g.transport.Send(d.to, d.data)
 	}
+	if isNotifying {
+		return
+	}
+	for g.notifyObserver() {
+	}
+}
+
+// notifyObserver passes the collected events to the observer. It returns false, and gives the next caller of
+// unlockAndFlush its turn, when there are none. Only one goroutine calls it at a time, so that the observer gets the
+// changes of a member in their order.
+func (g *Gossiper) notifyObserver() bool {
+	g.mu.Lock()
+	changed, senderStates := g.changed, g.senderStates
+	g.changed, g.senderStates = nil, nil
+	g.isNotifying = len(changed)+len(senderStates) > 0
+	isNotifying := g.isNotifying
+	g.mu.Unlock()
 	for _, m := range changed {
 		g.observer.MemberChanged(m)
 	}
@@ -256,6 +277,7 @@
 			g.observer.ViewDiffers(v.from)
 		}
 	}
+	return isNotifying
 }
 
 // handle processes the parts of a packet that depend on its kind.
