--- a/internal/relayer/announcedrain_test.go
+++ b/internal/relayer/announcedrain_test.go
@@ -5,14 +5,12 @@
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/responder"
-	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // TestAnnouncementWhileDraining guards against other nodes that send attempts to a draining node again, because a new
 // process of the upstream beside it has announced itself.
 func TestAnnouncementWhileDraining(t *testing.T) {
-	skipper.KnownRed(t)
 	const notice, limit = 100 * time.Millisecond, 5 * time.Second
 	c := newTestCluster(t, 1, responder.Behaviour{ServiceTime: time.Second, Slots: 4, Steady: true})
 	target := c.Node(1)
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -107,8 +107,7 @@
 
 // leaveService announces that the upstream takes no more attempts and refuses those that are queued.
 func (n *Node) leaveService() {
-	self := n.gossiper.Self()
-	n.gossiper.SetUpstream(self.Service, self.Slots, announcer.StateDraining)
+	n.gossiper.Drain()
 	n.executor.Drain()
 }
 
