Answer the register's calls that still run at the end of the time for closing

What operators saw: a change or a read that ran while the process closed was cut after 200 ms on the platform's addresses and after 300 ms on the administration API; the change could be in force without an acknowledgement.

Cause: calls of the register had their own time, up to 0.9, 2 and 6 s, whatever was left to the process, and the limit for closing cut the connection.

The platform's addresses may now take what draining leaves of its time rather than 200 ms, so that most changes finish. If draining took all of it, they are answered at once.

--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -16,9 +16,6 @@
 	"github.com/marigoldrelay/marigoldrelay/platform"
 )
 
-// serverCloseTimeout bounds the shutdown of the listeners for the platform's requests.
-const serverCloseTimeout = 200 * time.Millisecond
-
 func newPlatformCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
@@ -72,9 +69,11 @@
 		return err
 	}
 	watchSettings(ctx, hangups, path, node)
-	node.DrainFor(settings.DrainTimes())
-	closing, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
+	notice, limit := settings.DrainTimes()
+	// The platform's requests may take what draining leaves of its time.
+	closing, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	node.DrainFor(notice, limit)
 	server.Close(closing)
 	node.Close()
 	return nil
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -408,6 +408,7 @@
 func (n *Node) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	defer context.AfterFunc(ctx, n.register.interruptCalls)()
 	var closing sync.WaitGroup
 	for _, l := range slices.Concat(n.requestListeners, n.controlListeners) {
 		closing.Go(func() { l.Close(ctx) })
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -54,6 +54,10 @@
 	acceptor *replicator.Acceptor
 	proposer *replicator.Proposer
 
+	// callCtx is done when the calls of operators that still run are to be answered at once.
+	callCtx        context.Context
+	interruptCalls context.CancelFunc
+
 	mu sync.Mutex
 	// skippedUntil holds the time until which a leader that did not answer is skipped, by name.
 	skippedUntil map[string]time.Time
@@ -61,6 +65,7 @@
 
 func (n *Node) buildRegister() error {
 	r := &register{node: n}
+	r.callCtx, r.interruptCalls = context.WithCancel(context.Background())
 	// The wall clock can step back over a restart, so the incarnation alone may not be unique.
 	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
 	r.proposer.SetRoundObserver(n.roundFinished)
@@ -244,8 +249,20 @@
 	}
 }
 
+// interruptible returns a context that is also done after interruptCalls.
+func (r *register) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.callCtx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Read implements administrator.Register.
 func (r *register) Read(ctx context.Context) (*replicator.Value, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	r.assumeAcceptedReplicas()
 	value, err := r.proposer.Read(ctx)
 	if err != nil {
@@ -256,6 +273,8 @@
 
 // Change implements administrator.Register.
 func (r *register) Change(ctx context.Context, change *replicator.Change) (uint64, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	if reply, ok := r.forward(ctx, change); ok {
 		return reply.outcome()
 	}
@@ -287,6 +306,8 @@
 
 // Bootstrap implements administrator.Register.
 func (r *register) Bootstrap(ctx context.Context, change *replicator.Change) (*replicator.Value, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	value, err := r.proposer.Bootstrap(ctx, change)
 	if err != nil {
 		return nil, err
