Reply to the peers' calls that run when a messenger closes

What other nodes saw: a call that was carried out while the node closed, such as a claim, an accept of the register or a forwarded change, ended as unreachable.

Cause: Close closed every connection at once, with calls that ran and with calls unread, which resets a connection and destroys replies that were written.

Why the fix works: a call is counted by the goroutine that reads it, until its reply is written. Close handles no further call, waits until the count is zero, closes the connections for writing and waits until the peers have closed them, all within the node's time for closing. Abort cuts at once, as Close did.

Remains: a call that runs longer than the time for closing is cut.

--- a/internal/messenger/bench_test.go
+++ b/internal/messenger/bench_test.go
@@ -35,8 +35,8 @@
 	}
 	var counter sentByteCounter
 	server, client := New(key, &counter), New(key, &counter)
-	defer server.Close()
-	defer client.Close()
+	defer server.Abort()
+	defer client.Abort()
 	server.Handle("pull", func(_ context.Context, raw json.RawMessage) (any, error) {
 		var p message
 		return p, json.Unmarshal(raw, &p)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -49,7 +50,7 @@
 
 // Errors of Messenger.Call and Messenger.Notify.
 var (
-	// ErrClosed is returned after Close.
+	// ErrClosed is returned after Close or Abort.
 	ErrClosed = merry.Sentinel("messenger closed")
 	// ErrUnreachable is wrapped by the error when the message could not be sent or no response came.
 	ErrUnreachable = merry.Sentinel("peer unreachable")
@@ -77,8 +78,14 @@
 	key      *signer.Signer
 	counter  ByteCounter
 
-	mu       sync.Mutex
-	accepted map[*jsonrpc2.Conn]struct{}
+	// running counts the calls of peers that are being handled or replied to.
+	running sync.WaitGroup
+
+	mu sync.Mutex
+	// accepted holds the connections of peers, with the connection below each.
+	accepted map[*jsonrpc2.Conn]net.Conn
+	// closing is set when no further call of a peer is handled.
+	closing  bool
 	closed   bool
 	outgoing map[endpoint]*outgoingConn
 	listener net.Listener
@@ -101,7 +108,7 @@
 // Serve.
 func New(key *signer.Signer, counter ByteCounter) *Messenger {
 	return &Messenger{
-		accepted: make(map[*jsonrpc2.Conn]struct{}),
+		accepted: make(map[*jsonrpc2.Conn]net.Conn),
 		outgoing: make(map[endpoint]*outgoingConn),
 		handlers: make(map[string]Handler),
 		key:      key,
@@ -142,7 +149,7 @@
 	conn := m.newConn(raw, purpose)
 	m.mu.Lock()
 	closed := m.closed
-	m.accepted[conn] = struct{}{}
+	m.accepted[conn] = raw
 	m.mu.Unlock()
 	if closed {
 		_ = conn.Close()
@@ -157,10 +164,38 @@
 func (m *Messenger) newConn(raw net.Conn, purpose Purpose) *jsonrpc2.Conn {
 	counting := &countingConn{Conn: raw, counter: m.counter, purpose: purpose.String()}
 	stream := jsonrpc2.NewPlainObjectStream(counting)
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed())
+	handler := &concurrentHandler{messenger: m, next: jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed()}
 	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(logger.Silent{}))
 }
 
+// concurrentHandler handles each call in its own goroutine. Next also writes the reply.
+type concurrentHandler struct {
+	messenger *Messenger
+	next      jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h *concurrentHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if h.messenger.beginCall() {
+		go func() {
+			defer h.messenger.running.Done()
+			h.next.Handle(ctx, conn, req)
+		}()
+	}
+}
+
+// beginCall counts a call as running. It returns false if the call is not to be handled because of Close; the peer then
+// learns from the end of the connection that there is no reply.
+func (m *Messenger) beginCall() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closing {
+		return false
+	}
+	m.running.Add(1)
+	return true
+}
+
 // dispatch calls the handler of the requested method.
 func (m *Messenger) dispatch(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	handler, ok := m.handlers[req.Method]
@@ -274,10 +309,47 @@
 	_ = conn.Close()
 }
 
-// Close closes the listener and every connection except those that are still being dialled. Further calls return
+// Close stops handling further calls of peers, waits until the replies to those that run have arrived, at most until ctx
+// is done, and closes the messenger as Abort does.
+func (m *Messenger) Close(ctx context.Context) {
+	m.mu.Lock()
+	m.closing = true
+	m.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		m.running.Wait()
+		m.finishAccepted()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	m.Abort()
+}
+
+// finishAccepted closes the accepted connections for writing and waits until the peers have closed them: closing one with
+// unread calls at once would reset it before the peer has read the last reply.
+func (m *Messenger) finishAccepted() {
+	m.mu.Lock()
+	accepted := maps.Clone(m.accepted)
+	m.mu.Unlock()
+	for conn, raw := range accepted {
+		halfCloser, ok := raw.(interface{ CloseWrite() error })
+		if !ok || halfCloser.CloseWrite() != nil {
+			_ = conn.Close()
+		}
+	}
+	for conn := range accepted {
+		<-conn.DisconnectNotify()
+	}
+}
+
+// Abort closes the listener and every connection except those that are still being dialled. Further calls return
 // ErrClosed.
-func (m *Messenger) Close() {
+func (m *Messenger) Abort() {
 	m.mu.Lock()
+	m.closing = true
 	m.closed = true
 	listener := m.listener
 	var openConns []*jsonrpc2.Conn
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -388,7 +388,7 @@
 	for _, l := range slices.Concat(n.requestListeners, n.controlListeners) {
 		l.Abort()
 	}
-	n.messenger.Close()
+	n.messenger.Abort()
 	n.carrier.Close()
 	n.register.close()
 }
@@ -416,7 +416,7 @@
 	closing.Wait()
 	n.stop()
 	_ = n.udpConn.Close()
-	n.messenger.Close()
+	n.messenger.Close(ctx)
 	n.carrier.Close()
 	n.register.close()
 	n.tasks.Wait()
