--- a/internal/replicator/interruption_test.go
+++ b/internal/replicator/interruption_test.go
@@ -73,8 +73,9 @@
 // accepted returns the value that the VM's replica has accepted.
 func (c *cluster) accepted(vm string) *Value {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.acceptors[vm].Accepted()
+	a := c.acceptors[vm]
+	c.mu.Unlock()
+	return a.Accepted()
 }
 
 // TestRepairCompletesReconfiguration replaces two lost disks of five and interrupts the change before the old set is
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/diskfaker"
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
 	"github.com/marigoldrelay/marigoldrelay/internal/seeder"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
@@ -32,6 +33,8 @@
 
 	mu        sync.Mutex
 	acceptors map[string]*Acceptor
+	// disks holds simulated disks that replace the real files of the VMs, if it is not nil.
+	disks map[string]*diskfaker.Disk
 	// unreachable holds the VMs that no message reaches.
 	unreachable map[string]bool
 	// loss decides for each message whether the request or the reply is lost.
@@ -75,6 +78,16 @@
 	c.acceptors[vm] = a
 }
 
+// simulateDisk gives a VM without files a simulated disk and starts it.
+func (c *cluster) simulateDisk(vm string) {
+	c.tb.Helper()
+	if c.disks == nil {
+		c.disks = make(map[string]*diskfaker.Disk)
+	}
+	c.disks[vm] = diskfaker.New()
+	c.start(vm)
+}
+
 // setWriteHook sets the function that is called at each step of a write.
 func (c *cluster) setWriteHook(f func(vm string, step persister.Step, name string) error) {
 	c.mu.Lock()
@@ -104,12 +117,16 @@
 }
 
 func (c *cluster) open(vm string) (*Acceptor, error) {
-	folder, err := persister.Open(c.folderOf(vm), persister.WithStepHook(func(step persister.Step, name string) error {
+	options := []persister.Option{persister.WithStepHook(func(step persister.Step, name string) error {
 		c.mu.Lock()
 		f := c.writeHook
 		c.mu.Unlock()
 		return f(vm, step, name)
-	}))
+	})}
+	if disk := c.disks[vm]; disk != nil {
+		options = append(options, persister.WithFileSystem(disk))
+	}
+	folder, err := persister.Open(c.folderOf(vm), options...)
 	if err != nil {
 		return nil, err
 	}
