Test that a register grows without a new replica that does not answer

A register of three that is to grow to five takes in the new replica that answers, although the other one doesn't; a change acknowledged meanwhile survives the loss of any two disks once that one is back.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -86,8 +86,8 @@
 	return spares
 }
 
-// firstReplaceable returns the index of the first replica whose node counts as permanently gone or, if there is none, of
-// the first whose node is leaving, or -1.
+// firstReplaceable returns the index of the first replica whose node counts as permanently gone or, if there is none,
+// of the first whose node is leaving, or -1.
 func firstReplaceable(replicas []replicator.Replica, view *View) int {
 	gone := slices.IndexFunc(replicas, view.isGone)
 	if gone >= 0 {
--- a/internal/replicator/interruption_test.go
+++ b/internal/replicator/interruption_test.go
@@ -109,3 +109,38 @@
 		}
 	}
 }
+
+// TestGrowthIsCompletedWithoutIllReplica grows a register from three replicas to five while one of the new ones doesn't
+// answer. The other one must be taken in all the same, and once the first answers again, a change that was
+// acknowledged meanwhile must survive the loss of any two disks.
+func TestGrowthIsCompletedWithoutIllReplica(t *testing.T) {
+	vms := []string{"a", "b", "c", "d", "e"}
+	for i := range vms {
+		for j := range i {
+			c := newCluster(t)
+			for _, vm := range vms {
+				c.simulateDisk(vm)
+			}
+			c.bootstrap(vms[:3]...)
+			c.setCut(true, "d")
+			p := c.proposer("p", c.replicas(vms[:3]...))
+			if _, err := p.Reconfigure(t.Context(), 1, c.replicas(vms...)); !errors.Is(err, ErrNoMajority) {
+				t.Fatalf("growing with a replica that doesn't answer: %v", err)
+			}
+			grown, err := p.Repair(t.Context())
+			if err != nil || len(grown.Replicas) != 5 || len(grown.Previous) > 0 {
+				t.Fatalf("the register after the repair: %+v, %v", grown, err)
+			}
+			if _, _, err := p.Apply(t.Context(), change("c1", 1, nil)); err != nil {
+				t.Fatal(err)
+			}
+			c.setCut(false, "d")
+			c.loseSimulatedDisk(vms[i])
+			c.loseSimulatedDisk(vms[j])
+			value, err := c.proposer("q", grown.Replicas).Read(t.Context())
+			if err != nil || value.Version != 2 {
+				t.Errorf("after the loss of the disks of %s and %s: %+v, %v", vms[i], vms[j], value, err)
+			}
+		}
+	}
+}
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -88,6 +88,13 @@
 	c.start(vm)
 }
 
+// loseSimulatedDisk gives a VM with a simulated disk an empty one and restarts it.
+func (c *cluster) loseSimulatedDisk(vm string) {
+	c.tb.Helper()
+	c.stop(vm)
+	c.simulateDisk(vm)
+}
+
 // setWriteHook sets the function that is called at each step of a write.
 func (c *cluster) setWriteHook(f func(vm string, step persister.Step, name string) error) {
 	c.mu.Lock()
