Keep a waiter in its queue's rank when a document adds ranks

A waiter whose rank the configuration does not have is queued in the last rank. If a document with more ranks comes into force while it waits, it was looked for in a rank that it isn't in: it could not be withdrawn, its deadline was never looked at, and the cost was accounted to two ranks. A sibling's reservation comes with such a rank while one node has the new document and another not yet, and a request in the moment between the document and the scheduler's ranks. A caller's call that was cancelled then waited on until something else flushed the queue.

TestSchedulerModel now draws the number of ranks at the start and changes it. That callers met it is not shown.

--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -106,6 +106,18 @@
 	m.s.SetSlowPeriod(m.now, float64(slowdown), remaining)
 }
 
+// configure puts a document with another number of ranks in force.
+func (m *machine) configure(t *rapid.T) {
+	m.s.Configure(drawConfig(t))
+}
+
+// drawConfig returns a configuration with one or more of the ranks that drawClass draws from.
+func drawConfig(t *rapid.T) Config {
+	c := config()
+	c.Ranks = c.Ranks[:rapid.IntRange(1, len(c.Ranks)).Draw(t, "ranks")]
+	return c
+}
+
 func (m *machine) flush(*rapid.T) {
 	m.s.Flush(refuser.New(refuser.ReasonDraining, "leaving"))
 }
@@ -138,22 +150,24 @@
 }
 
 // TestSchedulerModel compares the scheduler with a model of its waiters under random calls. It guards against
-// lost or repeated decisions, wrong counts, and waiters that stay queued past their deadline.
+// lost or repeated decisions, wrong counts, and waiters that stay queued past their deadline, also when the number of
+// ranks changes.
 func TestSchedulerModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{now: time.Unix(1000, 0), s: New(3, config()), slots: 3}
+		m := &machine{now: time.Unix(1000, 0), s: New(3, drawConfig(t)), slots: 3}
 		t.Repeat(map[string]func(*rapid.T){
-			"":         m.checkState,
-			"done":     m.done,
-			"flush":    m.flush,
-			"pass":     m.advance,
-			"pull":     m.bindNext,
-			"rebind":   m.rebind,
-			"release":  m.release,
-			"resize":   m.resize,
-			"slow":     m.setSlowPeriod,
-			"submit":   m.submit,
-			"withdraw": m.withdraw,
+			"":          m.checkState,
+			"configure": m.configure,
+			"done":      m.done,
+			"flush":     m.flush,
+			"pass":      m.advance,
+			"pull":      m.bindNext,
+			"rebind":    m.rebind,
+			"release":   m.release,
+			"resize":    m.resize,
+			"slow":      m.setSlowPeriod,
+			"submit":    m.submit,
+			"withdraw":  m.withdraw,
 		})
 	})
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,8 +116,14 @@
 }
 
 func (s *Scheduler) rankOf(class Class) *rankState {
-	index := min(max(class.Rank, 0), len(s.ranks)-1)
-	return s.ranks[index]
+	return s.ranks[s.knownClass(class).Rank]
+}
+
+// knownClass returns the class to which a request of the given class is accounted: its own, or that of the last rank if
+// the configuration does not have its rank yet, because another node's is newer.
+func (s *Scheduler) knownClass(class Class) Class {
+	class.Rank = min(max(class.Rank, 0), len(s.ranks)-1)
+	return class
 }
 
 func (s *Scheduler) flowOf(class Class) *flow {
@@ -170,6 +176,7 @@
 func (s *Scheduler) enqueue(w *Waiter) {
 	w.Decisions = make(chan Decision, 1)
 	w.phase = phaseQueued
+	w.Class = s.knownClass(w.Class)
 	if !w.Reservation {
 		// The request behind a reservation is queued at its home, and its cost is counted there.
 		w.charged = s.expectedCost(w.Class)
@@ -184,6 +191,7 @@
 // start gives w a slot and charges the expected cost.
 func (s *Scheduler) start(w *Waiter) {
 	s.running++
+	w.Class = s.knownClass(w.Class)
 	s.charge(w)
 	w.phase = phaseRunning
 }
@@ -216,6 +224,7 @@
 
 // Reclassify moves the charge of a running reservation to the class of the request that it pulled.
 func (s *Scheduler) Reclassify(w *Waiter, class Class) {
+	class = s.knownClass(class)
 	if w.Class == class {
 		return
 	}
--- a/internal/scheduler/waiter.go
+++ b/internal/scheduler/waiter.go
@@ -37,7 +37,8 @@
 
 // Waiter is one request, or one reservation for a request that is queued at another server.
 type Waiter struct {
-	Arrived  time.Time
+	Arrived time.Time
+	// Class is changed to the class that the scheduler accounts the waiter to when it is queued or gets a slot.
 	Class    Class
 	Deadline time.Time
 	// Reservation is true for a reservation of a slot for a request that is queued at another server.
