Keep the deadline of a lingering connection when a late response finds nothing to write

Callers saw a connection stay open after its last response for the idle timeout instead of one second, so that a shutdown waited for it up to its limit. Once the listener is closed, the deadline was set to now instead: the connection was closed at once, and with unread input behind the response that resets it before the caller has read it. Requests that run at the same time each look for responses to write; one that came after the last response set the idle deadline again. A closing connection now keeps its deadline. Test: open 6 s after its last response before, closed after 1 s now.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -398,9 +398,10 @@
 	return writer.Flush()
 }
 
-// resumeIdle sets the idle timeout again after the last unanswered request. It is called with mu held.
+// resumeIdle sets the idle timeout again after the last unanswered request, unless the connection is closing: the deadline
+// is then that of lingeringClose. It is called with mu held.
 func (c *conn) resumeIdle() {
-	if len(c.queue) == 0 && !c.receiving {
+	if len(c.queue) == 0 && !c.receiving && !c.closing {
 		c.setIdleDeadline()
 	}
 }
