Write responses without holding the state of their connection

Callers of a node that stopped could be cut: StartShutdown, Close, Abort and InFlight all wait for the state of each connection, which was locked while a response was written, for up to 10 s if its caller doesn't read. One such caller held up the shutdown of all others beyond the limit of the drain, until the process was killed with what it still had. The lock is now released for each write; the connection is marked as closing before its last response, so that nothing is read behind it meanwhile, and only one goroutine writes.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -53,6 +53,8 @@
 	idleSince time.Time
 	// aborted is set when the listener has aborted the connection.
 	aborted bool
+	// writing is set while a goroutine writes responses. It releases mu for each.
+	writing bool
 	// dequeued signals that exchanges were removed from the queue.
 	dequeued sync.Cond
 }
@@ -344,55 +346,60 @@
 }
 
 // writeReady writes the responses at the head of the queue that are done, up to one that closes the connection, and
-// starts the requests that may run after that. While the listener drains, a response closes the connection unless the
-// next request has been started or is being received.
+// starts the requests that may run after each. It returns at once if another goroutine writes, which then writes these
+// responses as well.
 func (c *conn) writeReady() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing {
+		return
+	}
+	c.writing = true
 	writer := bufio.NewWriterSize(c.Conn, writeBufferBytes)
-	var writeErr error
-	lastWritten := false
-	for len(c.queue) > 0 && c.queue[0].done && !lastWritten {
-		x := c.queue[0]
-		nextStarted := len(c.queue) > 1 && c.queue[1].started
-		nextArrives := len(c.queue) == 1 && c.receiving
-		if c.listener.draining.Load() && !nextStarted && !nextArrives {
-			x.closeAfter = true
-		}
-		lastWritten = x.closeAfter
-		writeErr = c.writeResponse(writer, x)
-		if writeErr != nil {
-			break
-		}
-		c.queue = c.queue[1:]
+	for len(c.queue) > 0 && c.queue[0].done {
+		c.writeHead(writer)
 	}
-	switch {
-	case writeErr != nil:
-		c.discardQueue(CauseCallerGone)
-	case lastWritten:
-		c.discardQueue(CauseBehindLast)
-	default:
-		c.resumeIdle()
+	c.writing = false
+	c.resumeIdle()
+}
+
+// writeHead writes the response at the head of the queue and starts the requests that may run after it. While the
+// listener drains, the response closes the connection unless the next request has been started or is being received.
+// It is called with mu held, which it releases while it writes: the caller may be slow to read.
+func (c *conn) writeHead(writer *bufio.Writer) {
+	x := c.queue[0]
+	nextStarted := len(c.queue) > 1 && c.queue[1].started
+	nextArrives := len(c.queue) == 1 && c.receiving
+	if c.listener.draining.Load() && !nextStarted && !nextArrives {
+		x.closeAfter = true
 	}
-	startable := c.takeStartable()
-	c.dequeued.Broadcast()
-	if lastWritten {
-		c.lingeringClose()
+	if x.closeAfter {
+		c.closing = true
+		x.response.SetConnectionClose()
 	}
+	x.response.SkipBody = x.request.Header.IsHead()
 	c.mu.Unlock()
-	c.start(startable)
-	if writeErr != nil {
+	err := c.writeResponse(writer, x.response)
+	c.mu.Lock()
+	defer c.dequeued.Broadcast()
+	if err != nil {
+		c.discardQueue(CauseCallerGone)
 		c.abort()
+		return
 	}
+	c.queue = c.queue[1:]
+	if x.closeAfter {
+		c.discardQueue(CauseBehindLast)
+		c.lingeringClose()
+		return
+	}
+	c.start(c.takeStartable())
 }
 
 // writeResponse writes and flushes one response.
-func (c *conn) writeResponse(writer *bufio.Writer, x *exchange) error {
-	if x.closeAfter {
-		x.response.SetConnectionClose()
-	}
-	x.response.SkipBody = x.request.Header.IsHead()
+func (c *conn) writeResponse(writer *bufio.Writer, resp *fasthttp.Response) error {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := x.response.Write(writer); err != nil {
+	if err := resp.Write(writer); err != nil {
 		return err
 	}
 	return writer.Flush()
