Keep a request that arrives at the end of the idle timeout from the shutdown's interruption

A caller whose whole request had arrived saw its connection closed: the reader had found the input after the idle timeout, and the start of the shutdown interrupted it between that and the read, because the request did not count as being received yet. It counts from the moment its input is found now. The test places the shutdown at the read itself, not in the change of the deadline, where it would wait for the lock that is held there now: closed before, answered now.

--- a/internal/listener/close_test.go
+++ b/internal/listener/close_test.go
@@ -126,15 +126,16 @@
 }
 
 // expiringConn reports in its first Read that the deadline has passed, once a request can be read, and calls
-// afterDeadline after the next change of the deadline.
+// beforeRead before the second one, when the new deadline has been set.
 type expiringConn struct {
 	*net.TCPConn
-	expired       bool
-	afterDeadline func()
+	expired    bool
+	beforeRead func()
 }
 
 func (c *expiringConn) Read(buffer []byte) (int, error) {
 	if c.expired {
+		c.beforeRead()
 		return c.TCPConn.Read(buffer)
 	}
 	c.expired = true
@@ -144,18 +145,9 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
-func (c *expiringConn) SetReadDeadline(deadline time.Time) error {
-	err := c.TCPConn.SetReadDeadline(deadline)
-	if f := c.afterDeadline; c.expired && f != nil {
-		c.afterDeadline = nil
-		f()
-	}
-	return err
-}
-
 type expiringListener struct {
 	net.Listener
-	afterDeadline func()
+	beforeRead func()
 }
 
 func (l *expiringListener) Accept() (net.Conn, error) {
@@ -163,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &expiringConn{TCPConn: conn.(*net.TCPConn), afterDeadline: l.afterDeadline}, nil
+	return &expiringConn{TCPConn: conn.(*net.TCPConn), beforeRead: l.beforeRead}, nil
 }
 
 // TestShutdownAfterIdleTimeoutLeavesNoRequestUnread guards against a request that arrives when the idle timeout ends,
@@ -174,7 +166,7 @@
 		t.Fatal(err)
 	}
 	var l *Listener
-	expiring := &expiringListener{Listener: socket, afterDeadline: func() { l.StartShutdown() }}
+	expiring := &expiringListener{Listener: socket, beforeRead: func() { l.StartShutdown() }}
 	l = New(Config{Handle: echoHandler, Limits: func() Limits {
 		return Limits{HeaderTimeout: testTimeout, IdleTimeout: testTimeout, MaxBodyBytes: 100, MaxHeaderBytes: 4096}
 	}})
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -87,7 +87,7 @@
 	for c.readNext() {
 	}
 	c.mu.Lock()
-	c.closing = true
+	c.closing, c.receiving = true, false
 	idle := len(c.queue) == 0 && !c.lingering
 	if len(c.queue) > 0 {
 		_ = c.SetReadDeadline(time.Time{})
@@ -183,8 +183,7 @@
 func (c *conn) awaitRequest() bool {
 	for c.prepareToWait() {
 		_, err := c.reader.Peek(1)
-		if isTimeout(err) && forwarder.HasInput(c.Conn) {
-			_ = c.SetReadDeadline(time.Now().Add(c.listener.Limits().HeaderTimeout))
+		if isTimeout(err) && forwarder.HasInput(c.Conn) && c.startReceiving() {
 			_, err = c.reader.Peek(1)
 		}
 		switch {
