Write interim 100 responses in turn and with a deadline of their own

A caller that waits for the interim response before it sends its body was refused with 408 if more than 10 s had passed since the response before on the connection: that one's write deadline still stood. And the interim response was sent at once, also before or within the response to an earlier request that was still running. It waits for those now and sets the deadline. Tests: 408 after a pause of 11 s, and 100 before the response to the running request, before; the interim response and the response of the first request now.

--- a/internal/listener/close_test.go
+++ b/internal/listener/close_test.go
@@ -185,6 +185,7 @@
 	close  func()
 }
 
+// newPipeListener returns a listener for tests with a virtual clock.
 func newPipeListener() *pipeListener {
 	closed := make(chan struct{})
 	return &pipeListener{conns: make(chan net.Conn), closed: closed, close: sync.OnceFunc(func() { close(closed) })}
@@ -209,6 +210,7 @@
 // TestContinueAfterPause guards against a request with a body that waits for the interim response and is refused,
 // because the time for writing the response before it has passed.
 func TestContinueAfterPause(t *testing.T) {
+	startDateClock(t)
 	synctest.Test(t, func(t *testing.T) {
 		socket := newPipeListener()
 		l := serveListener(t, socket, echoHandler)
@@ -227,6 +229,47 @@
 	})
 }
 
+// TestContinueBehindRunningRequest guards against an interim response that arrives within or before the response to an
+// earlier request.
+func TestContinueBehindRunningRequest(t *testing.T) {
+	startDateClock(t)
+	synctest.Test(t, func(t *testing.T) {
+		proceed := make(chan struct{})
+		socket := newPipeListener()
+		l := serveListener(t, socket, func(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+			<-proceed
+			echoHandler(ctx, req, resp)
+		})
+		defer l.Abort()
+		caller, served := net.Pipe()
+		socket.conns <- served
+		reader := bufio.NewReader(caller)
+		send(t, caller, getRequest("/first"))
+		// The pipe has no buffer: the write ends when the request is read.
+		go func() {
+			_, _ = io.WriteString(caller, "POST /next HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+		}()
+		lines := make(chan string)
+		go func() {
+			line, _ := reader.ReadString('\n')
+			lines <- line
+		}()
+		synctest.Wait()
+		close(proceed)
+		if status := <-lines; !strings.Contains(status, "200") {
+			t.Errorf("the first response is %q", status)
+		}
+	})
+}
+
+// startDateClock makes the HTTP library start its clock for the Date header outside of the test's virtual time.
+func startDateClock(t *testing.T) {
+	t.Helper()
+	if err := (&fasthttp.Response{}).Write(bufio.NewWriter(io.Discard)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func send(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(conn, text); err != nil {
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -141,7 +141,6 @@
 	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
 		return x, &fasthttp.ErrSmallBuffer{}
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
 		return x, err
 	}
@@ -170,13 +169,31 @@
 // readBody reads a body of at most limit bytes, after an interim 100 response if the caller expects one.
 func (c *conn) readBody(req *fasthttp.Request, limit int) error {
 	if req.MayContinue() {
-		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.writeContinue(); err != nil {
 			return err
 		}
 	}
+	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	return req.ContinueReadBody(c.reader, limit, false)
 }
 
+// writeContinue writes the interim 100 response when the requests before are answered, so that it is not taken for a part
+// of their responses.
+func (c *conn) writeContinue() error {
+	c.mu.Lock()
+	for len(c.queue) > 0 {
+		c.dequeued.Wait()
+	}
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		return net.ErrClosed
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
+}
+
 // awaitRequest waits until fewer than maxPipelined requests are unanswered and the first byte of the next one has
 // arrived. It returns false when no further request is to be read, and cancels the running ones when the caller has
 // disconnected. Only here is a connection found to be idle, so that none is closed under a request that has arrived.
