Answer requests during a drain that were read before the last response

Callers that pipeline saw requests cut that the process had read whole: while the listener drained, a response closed its connection when the request behind it was queued and not started, as each behind a POST is, or was in the reader's buffer; one that was still arriving was answered. All of these are answered now, and at most 32 requests are read on a connection after the drain began, so that a caller that always has another one on its way doesn't hold up the shutdown.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -22,6 +22,9 @@
 	requestLineBytes = 1024
 	// lingerTimeout limits how long input is read and discarded after the last response.
 	lingerTimeout = time.Second
+	// maxDrainReads limits the requests read on a connection while the listener drains, for callers that always have
+	// another one on its way.
+	maxDrainReads = maxPipelined
 	// maxPipelined limits the unanswered requests of a connection. At the limit no further request is read.
 	maxPipelined     = 32
 	readBufferBytes  = 2048
@@ -47,7 +50,7 @@
 	lingering bool
 	// queue holds the unanswered exchanges, in the order of their requests.
 	queue []*exchange
-	// receiving is set from the first byte of a request until the request is in the queue.
+	// receiving is set from the first byte of a request, once it is read, until the request is in the queue.
 	receiving bool
 	// idleSince is when the wait for the next request began.
 	idleSince time.Time
@@ -57,6 +60,8 @@
 	writing bool
 	// dequeued signals that exchanges were removed from the queue.
 	dequeued sync.Cond
+	// drainReads is the number of requests read since the listener began to drain. Only the reading goroutine uses it.
+	drainReads int
 }
 
 // exchange is a request with its response.
@@ -145,10 +150,20 @@
 		return x, err
 	}
 	x.concurrent = x.request.Header.IsGet() || x.request.Header.IsHead()
-	x.closeAfter = x.request.ConnectionClose()
+	x.closeAfter = x.request.ConnectionClose() || c.isLastOfDrain()
 	return x, nil
 }
 
+// isLastOfDrain reports whether a request that was read is the last one for which a draining listener keeps the
+// connection open.
+func (c *conn) isLastOfDrain() bool {
+	if !c.listener.draining.Load() {
+		return false
+	}
+	c.drainReads++
+	return c.drainReads >= maxDrainReads
+}
+
 // readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
 // because most connections never receive one.
 func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
@@ -315,8 +330,9 @@
 // failed meanwhile.
 func (c *conn) enqueue(x *exchange) bool {
 	c.mu.Lock()
-	c.receiving = false
+	c.receiving = !x.closeAfter && c.reader.Buffered() > 0
 	if c.closing {
+		c.receiving = false
 		c.reportUnanswered(CauseCallerGone, x.request)
 		c.mu.Unlock()
 		return false
@@ -380,13 +396,10 @@
 }
 
 // writeHead writes the response at the head of the queue and starts the requests that may run after it. While the
-// listener drains, the response closes the connection unless the next request has been started or is being received.
-// It is called with mu held, which it releases while it writes: the caller may be slow to read.
+// listener drains, the response closes the connection unless the next request has been read or is being received. It is called with mu held, which it releases while it writes: the caller may be slow to read.
 func (c *conn) writeHead(writer *bufio.Writer) {
 	x := c.queue[0]
-	nextStarted := len(c.queue) > 1 && c.queue[1].started
-	nextArrives := len(c.queue) == 1 && c.receiving
-	if c.listener.draining.Load() && !nextStarted && !nextArrives {
+	if c.listener.draining.Load() && len(c.queue) == 1 && !c.receiving {
 		x.closeAfter = true
 	}
 	if x.closeAfter {
