--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -22,6 +22,9 @@
 	requestLineBytes = 1024
 	// lingerTimeout limits how long input is read and discarded after the last response.
 	lingerTimeout = time.Second
+	// maxDrainReads limits the requests read on a connection while the listener drains, for callers that always have
+	// another one on its way.
+	maxDrainReads = maxPipelined
 	// maxPipelined limits the unanswered requests of a connection. At the limit no further request is read.
 	maxPipelined     = 32
 	readBufferBytes  = 2048
@@ -47,14 +50,18 @@
 	lingering bool
 	// queue holds the unanswered exchanges, in the order of their requests.
 	queue []*exchange
-	// receiving is set from the first byte of a request until the request is in the queue.
+	// receiving is set from the first byte of a request, once it is read, until the request is in the queue.
 	receiving bool
 	// idleSince is when the wait for the next request began.
 	idleSince time.Time
 	// aborted is set when the listener has aborted the connection.
 	aborted bool
+	// writing is set while a goroutine writes responses. It releases mu for each.
+	writing bool
 	// dequeued signals that exchanges were removed from the queue.
 	dequeued sync.Cond
+	// drainReads is the number of requests read since the listener began to drain. Only the reading goroutine uses it.
+	drainReads int
 }
 
 // exchange is a request with its response.
@@ -85,7 +92,7 @@
 	for c.readNext() {
 	}
 	c.mu.Lock()
-	c.closing = true
+	c.closing, c.receiving = true, false
 	idle := len(c.queue) == 0 && !c.lingering
 	if len(c.queue) > 0 {
 		_ = c.SetReadDeadline(time.Time{})
@@ -139,15 +146,24 @@
 	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
 		return x, &fasthttp.ErrSmallBuffer{}
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
 		return x, err
 	}
 	x.concurrent = x.request.Header.IsGet() || x.request.Header.IsHead()
-	x.closeAfter = x.request.ConnectionClose()
+	x.closeAfter = x.request.ConnectionClose() || c.isLastOfDrain()
 	return x, nil
 }
 
+// isLastOfDrain reports whether a request that was read is the last one for which a draining listener keeps the
+// connection open.
+func (c *conn) isLastOfDrain() bool {
+	if !c.listener.draining.Load() {
+		return false
+	}
+	c.drainReads++
+	return c.drainReads >= maxDrainReads
+}
+
 // readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
 // because most connections never receive one.
 func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
@@ -168,21 +184,38 @@
 // readBody reads a body of at most limit bytes, after an interim 100 response if the caller expects one.
 func (c *conn) readBody(req *fasthttp.Request, limit int) error {
 	if req.MayContinue() {
-		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.writeContinue(); err != nil {
 			return err
 		}
 	}
+	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	return req.ContinueReadBody(c.reader, limit, false)
 }
 
+// writeContinue writes the interim 100 response when the requests before are answered, so that it is not taken for a part
+// of their responses.
+func (c *conn) writeContinue() error {
+	c.mu.Lock()
+	for len(c.queue) > 0 {
+		c.dequeued.Wait()
+	}
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		return net.ErrClosed
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
+}
+
 // awaitRequest waits until fewer than maxPipelined requests are unanswered and the first byte of the next one has
 // arrived. It returns false when no further request is to be read, and cancels the running ones when the caller has
 // disconnected. Only here is a connection found to be idle, so that none is closed under a request that has arrived.
 func (c *conn) awaitRequest() bool {
 	for c.prepareToWait() {
 		_, err := c.reader.Peek(1)
-		if isTimeout(err) && forwarder.HasInput(c.Conn) {
-			_ = c.SetReadDeadline(time.Now().Add(c.listener.Limits().HeaderTimeout))
+		if isTimeout(err) && forwarder.HasInput(c.Conn) && c.startReceiving() {
 			_, err = c.reader.Peek(1)
 		}
 		switch {
@@ -297,8 +330,9 @@
 // failed meanwhile.
 func (c *conn) enqueue(x *exchange) bool {
 	c.mu.Lock()
-	c.receiving = false
+	c.receiving = !x.closeAfter && c.reader.Buffered() > 0
 	if c.closing {
+		c.receiving = false
 		c.reportUnanswered(CauseCallerGone, x.request)
 		c.mu.Unlock()
 		return false
@@ -344,63 +378,66 @@
 }
 
 // writeReady writes the responses at the head of the queue that are done, up to one that closes the connection, and
-// starts the requests that may run after that. While the listener drains, a response closes the connection unless the
-// next request has been started or is being received.
+// starts the requests that may run after each. It returns at once if another goroutine writes, which then writes these
+// responses as well.
 func (c *conn) writeReady() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing {
+		return
+	}
+	c.writing = true
 	writer := bufio.NewWriterSize(c.Conn, writeBufferBytes)
-	var writeErr error
-	lastWritten := false
-	for len(c.queue) > 0 && c.queue[0].done && !lastWritten {
-		x := c.queue[0]
-		nextStarted := len(c.queue) > 1 && c.queue[1].started
-		nextArrives := len(c.queue) == 1 && c.receiving
-		if c.listener.draining.Load() && !nextStarted && !nextArrives {
-			x.closeAfter = true
-		}
-		lastWritten = x.closeAfter
-		writeErr = c.writeResponse(writer, x)
-		if writeErr != nil {
-			break
-		}
-		c.queue = c.queue[1:]
+	for len(c.queue) > 0 && c.queue[0].done {
+		c.writeHead(writer)
 	}
-	switch {
-	case writeErr != nil:
-		c.discardQueue(CauseCallerGone)
-	case lastWritten:
-		c.discardQueue(CauseBehindLast)
-	default:
-		c.resumeIdle()
+	c.writing = false
+	c.resumeIdle()
+}
+
+// writeHead writes the response at the head of the queue and starts the requests that may run after it. While the
+// listener drains, the response closes the connection unless the next request has been read or is being received. It is called with mu held, which it releases while it writes: the caller may be slow to read.
+func (c *conn) writeHead(writer *bufio.Writer) {
+	x := c.queue[0]
+	if c.listener.draining.Load() && len(c.queue) == 1 && !c.receiving {
+		x.closeAfter = true
 	}
-	startable := c.takeStartable()
-	c.dequeued.Broadcast()
-	if lastWritten {
-		c.lingeringClose()
+	if x.closeAfter {
+		c.closing = true
+		x.response.SetConnectionClose()
 	}
+	x.response.SkipBody = x.request.Header.IsHead()
 	c.mu.Unlock()
-	c.start(startable)
-	if writeErr != nil {
+	err := c.writeResponse(writer, x.response)
+	c.mu.Lock()
+	defer c.dequeued.Broadcast()
+	if err != nil {
+		c.discardQueue(CauseCallerGone)
 		c.abort()
+		return
+	}
+	c.queue = c.queue[1:]
+	if x.closeAfter {
+		c.discardQueue(CauseBehindLast)
+		c.lingeringClose()
+		return
 	}
+	c.start(c.takeStartable())
 }
 
 // writeResponse writes and flushes one response.
-func (c *conn) writeResponse(writer *bufio.Writer, x *exchange) error {
-	if x.closeAfter {
-		x.response.SetConnectionClose()
-	}
-	x.response.SkipBody = x.request.Header.IsHead()
+func (c *conn) writeResponse(writer *bufio.Writer, resp *fasthttp.Response) error {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := x.response.Write(writer); err != nil {
+	if err := resp.Write(writer); err != nil {
 		return err
 	}
 	return writer.Flush()
 }
 
-// resumeIdle sets the idle timeout again after the last unanswered request. It is called with mu held.
+// resumeIdle sets the idle timeout again after the last unanswered request, unless the connection is closing: the deadline
+// is then that of lingeringClose. It is called with mu held.
 func (c *conn) resumeIdle() {
-	if len(c.queue) == 0 && !c.receiving {
+	if len(c.queue) == 0 && !c.receiving && !c.closing {
 		c.setIdleDeadline()
 	}
 }
