Read a node's settings again at SIGHUP instead of ending it

What callers saw: SIGHUP to a process that was started by `marigoldrelay node` ended it at once, also while it drained, and cut every request that it had.

Cause: only the command `platform` caught the signal; the default action of SIGHUP ends a process.

Both commands now watch their settings file in the same way (settingsWatcher), and the signal stays caught to the end of the process.

--- a/internal/cmd/nodecmd.go
+++ b/internal/cmd/nodecmd.go
@@ -26,7 +26,9 @@
 	if err := requireNoArguments(command); err != nil {
 		return err
 	}
-	settings, err := settingsreader.Load(command.String("settings"))
+	path := command.String("settings")
+	watcher := newSettingsWatcher(path)
+	settings, err := settingsreader.Load(path)
 	if err != nil {
 		return withExitCode(ExitUsage, err)
 	}
@@ -53,8 +55,18 @@
 	if err := node.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	watcher.watch(ctx, func() { reloadSettings(path, node) })
 	node.Drain()
 	node.Close()
 	return nil
 }
+
+// reloadSettings reads the settings file again. If it can't be read, the node keeps its settings.
+func reloadSettings(path string, node *relayer.Node) {
+	settings, err := settingsreader.Load(path)
+	if err != nil {
+		node.ReloadFailed(err)
+		return
+	}
+	node.Reload(settings)
+}
--- a/internal/cmd/platformcmd.go
+++ b/internal/cmd/platformcmd.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -34,10 +31,8 @@
 	if err := requireNoArguments(command); err != nil {
 		return err
 	}
-	// The signal stays caught to the end of the process, which it would otherwise end at once.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	path := command.String("settings")
+	watcher := newSettingsWatcher(path)
 	settings, err := platform.Load(path)
 	if err != nil {
 		return withExitCode(ExitUsage, err)
@@ -71,7 +66,7 @@
 	if err := server.Serve(settings.ReadyAddress); err != nil {
 		return err
 	}
-	watchSettings(ctx, hangups, path, node)
+	watcher.watch(ctx, func() { reloadPlatformSettings(path, node) })
 	node.DrainFor(settings.DrainTimes())
 	closing, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
 	defer cancel()
@@ -80,40 +75,12 @@
 	return nil
 }
 
-// reloadInterval is the interval between checks of the settings file, which can change without a signal.
-const reloadInterval = time.Second
-
-// watchSettings reloads the settings file after each signal in hangups or change of its modification time, until ctx
-// is done. If the file can't be read, the node keeps its settings.
-func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, node *relayer.Node) {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	lastModTime := modTime(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-ticker.C:
-			if now := modTime(path); now.Equal(lastModTime) {
-				continue
-			}
-		}
-		lastModTime = modTime(path)
-		settings, err := platform.Load(path)
-		if err != nil {
-			node.ReloadFailed(err)
-			continue
-		}
-		node.Reload(settings.NodeSettings)
-	}
-}
-
-// modTime returns the file's modification time, or the zero time if the file can't be examined.
-func modTime(path string) time.Time {
-	info, err := os.Stat(path)
+// reloadPlatformSettings reads the settings file again. If it can't be read, the node keeps its settings.
+func reloadPlatformSettings(path string, node *relayer.Node) {
+	settings, err := platform.Load(path)
 	if err != nil {
-		return time.Time{}
+		node.ReloadFailed(err)
+		return
 	}
-	return info.ModTime()
+	node.Reload(settings.NodeSettings)
 }
--- a/internal/cmd/stopsignals_test.go
+++ b/internal/cmd/stopsignals_test.go
@@ -19,7 +19,9 @@
 
 // stopSignals is a series of signals to a process that drains after a SIGTERM.
 type stopSignals struct {
-	Name    string   `json:"name"`
+	Name string `json:"name"`
+	// Before are sent before the SIGTERM, and Signals while the process drains.
+	Before  []string `json:"before"`
 	Signals []string `json:"signals"`
 }
 
@@ -34,39 +36,52 @@
 	if err := json.Unmarshal(text, &series); err != nil {
 		t.Fatal(err)
 	}
-	numbers := map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
-	for _, s := range series {
-		t.Run(s.Name, func(t *testing.T) {
-			t.Parallel()
-			cmd, lines := startPlatformNode(t)
-			awaitLine(t, lines, "Started.")
-			sendSignal(t, cmd, syscall.SIGTERM)
-			awaitLine(t, lines, "Draining.")
-			for _, name := range s.Signals {
-				sendSignal(t, cmd, numbers[name])
-			}
-			awaitLine(t, lines, "Drained.")
-			readToEnd(lines)
-			if err := cmd.Wait(); err != nil {
-				t.Errorf("the process ended with %v", err)
-			}
-		})
+	for _, command := range []string{"node", "platform"} {
+		for _, s := range series {
+			t.Run(command+"/"+s.Name, func(t *testing.T) {
+				t.Parallel()
+				s.run(t, command)
+			})
+		}
 	}
 }
 
-// startPlatformNode starts a node on the users' platform as a process, and returns it with the lines of its log.
-func startPlatformNode(t *testing.T) (*exec.Cmd, *bufio.Scanner) {
+var signalNumbers = map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
+
+// run sends the signals to a node that is run by the command.
+func (s *stopSignals) run(t *testing.T, command string) {
+	cmd, lines := startNode(t, command)
+	awaitLine(t, lines, "Started.")
+	for _, name := range s.Before {
+		sendSignal(t, cmd, signalNumbers[name])
+		awaitLine(t, lines, "The settings were read again.")
+	}
+	sendSignal(t, cmd, syscall.SIGTERM)
+	awaitLine(t, lines, "Draining.")
+	for _, name := range s.Signals {
+		sendSignal(t, cmd, signalNumbers[name])
+	}
+	awaitLine(t, lines, "Drained.")
+	readToEnd(lines)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
+// startNode starts a node as a process, and returns it with the lines of its log.
+func startNode(t *testing.T, command string) (*exec.Cmd, *bufio.Scanner) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), awaitTimeout)
-	cmd := exec.CommandContext(ctx, "marigoldrelay", "platform", "--settings", writePlatformSettings(t))
-	cmd.Stderr = os.Stderr
-	logs, err := cmd.StdoutPipe()
+	cmd := exec.CommandContext(ctx, "marigoldrelay", command, "--settings", writeStopSettings(t, command))
+	logs, output, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	_ = output.Close()
 	t.Cleanup(func() {
 		cancel()
 		_, _ = io.Copy(io.Discard, logs)
@@ -76,21 +91,25 @@
 	return cmd, bufio.NewScanner(logs)
 }
 
-// writePlatformSettings writes the settings of a node whose drain is short, and returns the path of the file.
-func writePlatformSettings(t *testing.T) string {
+// writeStopSettings writes the settings of a node whose drain is short, and returns the path of the file.
+func writeStopSettings(t *testing.T, command string) string {
 	t.Helper()
 	const grace = 1500 * time.Millisecond
 	addresses, err := demonstrator.FreeAddresses(5)
 	if err != nil {
 		t.Fatal(err)
 	}
-	text, err := json.Marshal(map[string]any{
-		"platform-address": addresses[0], "bounds": map[string]any{"grace_s": grace.Seconds()}, "control-bytes-per-second": 7000,
-		"node": map[string]any{
-			"name": "n1", "data-centre": "d1", "region": "r1", "caller-address": addresses[1], "peer-address": addresses[2],
-			"control-address": addresses[3], "admin-address": addresses[4], "trust-network": true, "log-level": "info",
-		},
-	})
+	settings := map[string]any{
+		"name": "n1", "data-centre": "d1", "region": "r1", "caller-address": addresses[1], "peer-address": addresses[2],
+		"control-address": addresses[3], "admin-address": addresses[4], "trust-network": true, "log-level": "info",
+	}
+	if command == "platform" {
+		settings = map[string]any{
+			"platform-address": addresses[0], "bounds": map[string]any{"grace_s": grace.Seconds()},
+			"control-bytes-per-second": 7000, "node": settings,
+		}
+	}
+	text, err := json.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
