Catch SIGTERM and SIGINT to the very end of a process

What operators saw: a node that had drained could report that a signal had ended it, instead of exit status 0, if a further SIGTERM came in its last moment.

Cause: Main stopped catching the signals before the program exited.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -61,10 +61,17 @@
 }
 
 // Main runs the program with the given arguments, the first being its name, until it ends or receives
-// SIGINT or SIGTERM. It returns the exit code.
+// SIGINT or SIGTERM. It returns the exit code. The signals stay caught, so that a further one doesn't end the program
+// before it has exited with this code.
 func Main(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		cancel()
+	}()
 	return run(ctx, args, os.Stdout, os.Stderr)
 }
 
--- a/internal/cmd/stopsignals_test.go
+++ b/internal/cmd/stopsignals_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,6 +48,33 @@
 	}
 }
 
+// TestSignalsUntilProcessIsGone guards against a process that has drained and that a further signal ends before it
+// reports its exit status.
+func TestSignalsUntilProcessIsGone(t *testing.T) {
+	const rounds = 10
+	for i := range rounds {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			cmd, lines := startNode(t, "node")
+			awaitLine(t, lines, "Started.")
+			sendSignal(t, cmd, syscall.SIGTERM)
+			awaitLine(t, lines, "Drained.")
+			go signalUntilDone(cmd.Process)
+			readToEnd(lines)
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("the process ended with %v", err)
+			}
+		})
+	}
+}
+
+// signalUntilDone sends SIGTERM to the process until another goroutine has waited for its end.
+func signalUntilDone(process *os.Process) {
+	for process.Signal(syscall.SIGTERM) == nil {
+		runtime.Gosched()
+	}
+}
+
 var signalNumbers = map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
 
 // run sends the signals to a node that is run by the command.
@@ -130,12 +159,14 @@
 // awaitLine reads lines until one contains the text.
 func awaitLine(t *testing.T, lines *bufio.Scanner, text string) {
 	t.Helper()
+	last := ""
 	for lines.Scan() {
-		if strings.Contains(lines.Text(), text) {
+		last = lines.Text()
+		if strings.Contains(last, text) {
 			return
 		}
 	}
-	t.Errorf("the process ended before the line %q", text)
+	t.Errorf("the process ended before the line %q; its last one is %q", text, last)
 }
 
 // readToEnd reads the remaining lines, which end with the process.
