Reserve a port of the tests before it is checked

FreeAddresses noted a port as given only after it had found it free, so that two concurrent callers could get the same one.

--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -237,7 +237,7 @@
 	lastPort  = 32000
 )
 
-// reservedPorts holds the ports that FreeAddresses has returned in this process. They stay unused until
+// reservedPorts holds the ports that FreeAddresses has returned in this process or found in use. They stay unused until
 // their owner opens its listener, so a check for a free port does not suffice.
 var reservedPorts sync.Map
 
@@ -248,7 +248,7 @@
 	for attempts := 0; len(addresses) < count; attempts++ {
 		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if _, reserved := reservedPorts.Load(port); reserved {
+		if _, reserved := reservedPorts.LoadOrStore(port, struct{}{}); reserved {
 			continue
 		}
 		if err := checkPortFree(address); err != nil {
@@ -257,7 +257,6 @@
 			}
 			continue
 		}
-		reservedPorts.Store(port, struct{}{})
 		addresses = append(addresses, address)
 	}
 	return addresses, nil
