Look for lost requests at planned stops of real processes

The soak under faults sends SIGTERM and SIGHUP as well and reads the output, which was thrown away before. Every second version of the document lacks a route and has shorter deadlines. Each test process has a loopback address of its own: two soaks of 60 nodes at a time had taken each other's ports.

--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -68,7 +68,7 @@
 func writeDeployment(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	nodes, err := writeSettings(ts.MkAbs("."), count, args[1:])
+	nodes, err := writeSettings(ts.MkAbs("."), count, args[1:], "warn")
 	ts.Check(err)
 	for _, node := range nodes {
 		for part, address := range map[string]netip.AddrPort{
@@ -80,8 +80,9 @@
 }
 
 // writeSettings writes the settings of nodes, called n1 and so on, into a folder. If the folder holds
-// document.jsonc, the settings name it as the document file. Nodes named in replicas have a data folder.
-func writeSettings(folder string, count int, replicas []string) ([]nodeAddresses, error) {
+// document.jsonc, the settings name it as the document file. Nodes named in replicas have a data folder. The
+// nodes log from the level on, without a limit that a test reaches.
+func writeSettings(folder string, count int, replicas []string, level string) ([]nodeAddresses, error) {
 	if err := os.WriteFile(filepath.Join(folder, "secret"), []byte(testSecret), 0o600); err != nil {
 		return nil, err
 	}
@@ -90,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range all {
+		all[i] = netip.AddrPortFrom(processHost(), all[i].Port())
+	}
 	seeds := []netip.AddrPort{all[3], all[addressesPerNode*min(1, count-1)+3]}
 	var nodes []nodeAddresses
 	for i := 1; i <= count; i++ {
@@ -99,8 +103,8 @@
 			"admin-address": node.admin, "admin-token-file": "secret", "announce-address": node.announce,
 			"caller-address": node.caller, "control-address": node.control,
 			"data-centre": fmt.Sprintf("dc%d", i%2), "name": node.name,
-			"log-level": "warn", "peer-address": node.peer, "peer-key-file": "secret", "region": "r1",
-			"seeds": seeds,
+			"log-level": level, "peer-address": node.peer, "peer-key-file": "secret", "region": "r1",
+			"seeds": seeds, "log-lines-per-second": 100000,
 		}
 		if _, err := os.Stat(filepath.Join(folder, "document.jsonc")); err == nil {
 			settings["document-file"] = "document.jsonc"
@@ -120,6 +124,14 @@
 	return nodes, nil
 }
 
+// processHost returns a loopback address that other processes' tests don't use, so that they don't take the ports of a
+// node that is down.
+func processHost() netip.Addr {
+	const firstBlock = 64
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, firstBlock + byte(pid>>16), byte(pid >> 8), byte(pid)})
+}
+
 // nodeStatus reads the status of the node with the given administration address.
 func nodeStatus(address string) (*relayer.Status, error) {
 	parsed, err := netip.ParseAddrPort(address)
--- a/internal/cmd/soak_operator_test.go
+++ b/internal/cmd/soak_operator_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	// send a change.
 	changePause   = 150 * time.Millisecond
 	changeTimeout = 2 * time.Second
+	// shorterDeadline is the deadline of all routes in every second version.
+	shorterDeadline = 1500 * time.Millisecond
 )
 
 var versionPattern = regexp.MustCompile(`version (\d+) is in force`)
@@ -27,8 +30,8 @@
 // operator changes the document while faults are injected, and resends each change until it is acknowledged.
 type operator struct {
 	*soak
-	// document is the path of the document that every change sends.
-	document string
+	// documents are the paths of the documents that the changes send in turn.
+	documents []string
 	// acknowledged is the newest acknowledged version.
 	acknowledged uint64
 }
@@ -50,23 +53,34 @@
 		}
 		document.ControlReplicas = append(document.ControlReplicas, validator.ControlReplica{DiskID: status.DiskID, VM: status.Name})
 	}
-	data, err := json.Marshal(document)
-	if err != nil {
+	o.writeDocument("next.jsonc", document)
+	// The other document lacks the last route and has shorter deadlines.
+	document.Routes = slices.Clone(document.Routes[:len(document.Routes)-1])
+	for i := range document.Routes {
+		document.Routes[i].Deadline = validator.Duration(shorterDeadline)
+	}
+	o.writeDocument("other.jsonc", document)
+	if err := o.sendChange(0, "--first"); err != nil {
 		o.t.Fatal(err)
 	}
-	o.document = filepath.Join(o.folder, "next.jsonc")
-	if err := os.WriteFile(o.document, data, 0o600); err != nil {
+}
+
+func (o *operator) writeDocument(name string, document *validator.Document) {
+	data, err := json.Marshal(document)
+	if err != nil {
 		o.t.Fatal(err)
 	}
-	if err := o.sendChange("change-0", "--first"); err != nil {
+	path := filepath.Join(o.folder, name)
+	if err := os.WriteFile(path, data, 0o600); err != nil {
 		o.t.Fatal(err)
 	}
+	o.documents = append(o.documents, path)
 }
 
 // run sends changes until ctx is done.
 func (o *operator) run(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
-		if err := o.sendChange(fmt.Sprintf("change-%d", n), "--base", strconv.FormatUint(o.acknowledged, 10)); err != nil {
+		if err := o.sendChange(n, "--base", strconv.FormatUint(o.acknowledged, 10)); err != nil {
 			o.t.Error(err)
 			return
 		}
@@ -74,9 +88,10 @@
 	}
 }
 
-// sendChange sends a change to random nodes until one acknowledges it. The version must be the successor of
+// sendChange sends the change with number n to random nodes until one acknowledges it. The version must be the successor of
 // the last acknowledged one.
-func (o *operator) sendChange(id string, base ...string) error {
+func (o *operator) sendChange(n int, base ...string) error {
+	id := fmt.Sprintf("change-%d", n)
 	deadline := time.Now().Add(awaitTimeout)
 	for {
 		node := o.nodes[o.randomInt(len(o.nodes))]
@@ -84,7 +99,7 @@
 			"config", "set", "--admin", node.admin.String(), "--token-file", "secret", "--change-id", id,
 		}, base...)
 		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-		command := exec.CommandContext(ctx, "marigoldrelay", append(args, o.document)...)
+		command := exec.CommandContext(ctx, "marigoldrelay", append(args, o.documents[n%len(o.documents)])...)
 		command.Dir = o.folder
 		out, err := command.CombinedOutput()
 		cancel()
--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -33,60 +33,15 @@
 	soakSettleTime   = time.Second
 )
 
-// process is one process of the soak. Its mutex serialises the faults that are injected into it.
-type process struct {
-	args   []string
-	folder string
-	mu     sync.Mutex
-	t      *testing.T
-	cmd    *exec.Cmd
-	exited chan struct{}
-}
-
-func (p *process) start() {
-	cmd := exec.Command("marigoldrelay", p.args...)
-	cmd.Dir = p.folder
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
-		p.t.Error(err)
-		return
-	}
-	exited := make(chan struct{})
-	go func() {
-		// Wait returns an error for a killed process, which is expected.
-		_ = cmd.Wait()
-		close(exited)
-	}()
-	p.cmd, p.exited = cmd, exited
-}
-
-func (p *process) signal(signal syscall.Signal) {
-	// Signal fails if the process has already ended.
-	_ = p.cmd.Process.Signal(signal)
-}
-
-// restart ends the process with a signal and starts it again after a pause.
-func (p *process) restart(signal syscall.Signal, pause time.Duration) {
-	p.signal(signal)
-	select {
-	case <-p.exited:
-	case <-time.After(awaitTimeout):
-		p.t.Errorf("%v has not ended %s after signal %d", p.args, awaitTimeout, signal)
-		p.signal(syscall.SIGKILL)
-		<-p.exited
-	}
-	time.Sleep(pause)
-	p.start()
-}
-
 // soak runs nodes and upstreams as processes, injects faults from outside and compares the outcomes that
 // callers saw with the requests that upstreams ran.
 type soak struct {
-	faults    map[string]int
-	folder    string
-	mu        sync.Mutex
-	outcomes  []loadgenerator.Outcome
-	nodes     []nodeAddresses
+	faults   map[string]int
+	folder   string
+	mu       sync.Mutex
+	outcomes []loadgenerator.Outcome
+	nodes    []nodeAddresses
+	// processes holds the nodes at even indexes, each with its upstream behind it.
 	processes []*process
 	proxies   []*proxy
 	random    *rand.Rand
@@ -97,10 +52,8 @@
 // and restart processes; proxies in front of the nodes delay and reset connections and drop one direction.
 // It guards against requests that run twice, wrong answers and versions of the document that are lost.
 func TestSoakOfProcesses(t *testing.T) {
-	s := &soak{
-		faults: make(map[string]int), folder: t.TempDir(), random: rand.New(rand.NewPCG(*soakSeed, 2)), t: t,
-	}
-	s.deploy()
+	s := newSoak(t)
+	s.addProxies()
 	s.awaitAllAnswer()
 	o := &operator{soak: s}
 	o.createFirstVersion()
@@ -121,11 +74,19 @@
 	work.Wait()
 	s.awaitAllAnswer()
 	o.awaitNewestVersion()
-	s.check()
+	s.check(func(*loadgenerator.Outcome, int) error { return nil })
 	t.Logf("%d versions acknowledged", o.acknowledged)
 }
 
-// deploy starts the nodes, each with an upstream beside it and a proxy in front of it.
+func newSoak(t *testing.T) *soak {
+	s := &soak{
+		faults: make(map[string]int), folder: t.TempDir(), random: rand.New(rand.NewPCG(*soakSeed, 2)), t: t,
+	}
+	s.deploy()
+	return s
+}
+
+// deploy starts the nodes, each with an upstream beside it.
 func (s *soak) deploy() {
 	document, err := os.ReadFile("testdata/soak.jsonc")
 	if err != nil {
@@ -138,17 +99,25 @@
 	for i := range soakReplicas {
 		replicas = append(replicas, fmt.Sprintf("n%d", i+1))
 	}
-	if s.nodes, err = writeSettings(s.folder, *soakNodes, replicas); err != nil {
+	if s.nodes, err = writeSettings(s.folder, *soakNodes, replicas, "info"); err != nil {
 		s.t.Fatal(err)
 	}
 	for i, node := range s.nodes {
-		s.proxies = append(s.proxies, newProxy(s.t, node.caller))
 		s.add("node", "--settings", node.name+".jsonc")
 		s.add("upstream", "--service", "entries", "--announce", node.announce.String(),
 			"--journal", s.journal(i), "--seed", fmt.Sprint(i))
 	}
 }
 
+// addProxies puts a proxy in front of each node.
+func (s *soak) addProxies() {
+	for i := range s.nodes {
+		proxy := newProxy(s.t, s.nodes[i].caller)
+		s.nodes[i].caller = proxy.address()
+		s.proxies = append(s.proxies, proxy)
+	}
+}
+
 func (s *soak) journal(i int) string {
 	return filepath.Join(s.folder, fmt.Sprintf("journal-%d", i))
 }
@@ -182,7 +151,9 @@
 		act  func()
 	}{
 		{"kill", func() { target.restart(syscall.SIGKILL, pause) }},
-		{"terminate", func() { target.restart(syscall.SIGINT, pause) }},
+		{"interrupt", func() { target.restart(syscall.SIGINT, pause) }},
+		{"terminate", func() { target.restart(syscall.SIGTERM, pause) }},
+		{"hang up", func() { s.hangUp(target, pause) }},
 		{"freeze", func() {
 			target.signal(syscall.SIGSTOP)
 			time.Sleep(pause)
@@ -206,6 +177,21 @@
 	time.Sleep(pause / 2)
 }
 
+// hangUp sends SIGHUP, which makes a node read its settings again and ends an upstream at once.
+func (s *soak) hangUp(target *process, pause time.Duration) {
+	if !s.isNode(target) {
+		target.restart(syscall.SIGHUP, pause)
+		return
+	}
+	target.signal(syscall.SIGHUP)
+	time.Sleep(pause)
+	target.startIfEnded()
+}
+
+func (s *soak) isNode(p *process) bool {
+	return p.args[0] == "node"
+}
+
 // load sends requests through all proxies for the time d and records their outcomes.
 func (s *soak) load(d time.Duration) {
 	config := loadgenerator.Config{
@@ -215,8 +201,8 @@
 		},
 		Prefix: "soak", Rate: soakRate, Seed: *soakSeed, Timeout: 2 * time.Second,
 	}
-	for _, proxy := range s.proxies {
-		config.Targets = append(config.Targets, proxy.address())
+	for _, node := range s.nodes {
+		config.Targets = append(config.Targets, node.caller)
 	}
 	loadgenerator.New(timekeeper.System{}, config, func(outcome loadgenerator.Outcome) {
 		s.mu.Lock()
@@ -227,11 +213,11 @@
 
 // awaitAllAnswer waits until every node has answered a call.
 func (s *soak) awaitAllAnswer() {
-	for i, proxy := range s.proxies {
+	for i, node := range s.nodes {
 		deadline := time.Now().Add(awaitTimeout)
-		for n := 0; !s.isAnswered(proxy.address(), fmt.Sprintf("await-%d-%d", i, n)); n++ {
+		for n := 0; !s.isAnswered(node.caller, fmt.Sprintf("await-%d-%d", i, n)); n++ {
 			if time.Now().After(deadline) {
-				s.t.Fatalf("seed %d: node %d does not answer %s after its repair", *soakSeed, i+1, awaitTimeout)
+				s.t.Fatalf("seed %d: node %d does not answer %s after its repair: %s", *soakSeed, i+1, awaitTimeout, s.processes[2*i].lastLine())
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -250,10 +236,11 @@
 	return answered
 }
 
-// check compares the outcomes with the upstreams' journals.
-func (s *soak) check() {
+// check compares the outcomes with the upstreams' journals, and reads the processes' output. The function further checks
+// an outcome and how often its request ran.
+func (s *soak) check(further func(outcome *loadgenerator.Outcome, ran int) error) {
 	ran := make(map[string]int)
-	for i := range s.proxies {
+	for i := range s.nodes {
 		counts, err := responder.ReadJournal(s.journal(i))
 		if err != nil {
 			s.t.Fatal(err)
@@ -264,14 +251,19 @@
 	}
 	answered := 0
 	for i := range s.outcomes {
-		if err := outcomeError(s.outcomes[i].String(), ran); err != nil {
+		outcome := &s.outcomes[i]
+		err := errors.Join(outcomeError(outcome.String(), ran), further(outcome, ran[outcome.ID]))
+		if err != nil {
 			s.t.Errorf("seed %d: %v", *soakSeed, err)
 		}
-		if s.outcomes[i].IsAnswered() {
+		if outcome.IsAnswered() {
 			answered++
 		}
 	}
-	s.t.Logf("seed %d: faults %v, %d of %d answered", *soakSeed, s.faults, answered, len(s.outcomes))
+	for _, p := range s.processes {
+		p.checkOutput()
+	}
+	s.t.Logf("seed %d: events %v, %d of %d answered", *soakSeed, s.faults, answered, len(s.outcomes))
 	if answered == 0 {
 		s.t.Error("no call was answered")
 	}
