--- a/internal/cmd/stopsignals_test.go
+++ b/internal/cmd/stopsignals_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,7 +21,9 @@
 
 // stopSignals is a series of signals to a process that drains after a SIGTERM.
 type stopSignals struct {
-	Name    string   `json:"name"`
+	Name string `json:"name"`
+	// Before are sent before the SIGTERM, and Signals while the process drains.
+	Before  []string `json:"before"`
 	Signals []string `json:"signals"`
 }
 
@@ -34,18 +38,28 @@
 	if err := json.Unmarshal(text, &series); err != nil {
 		t.Fatal(err)
 	}
-	numbers := map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
-	for _, s := range series {
-		t.Run(s.Name, func(t *testing.T) {
+	for _, command := range []string{"node", "platform"} {
+		for _, s := range series {
+			t.Run(command+"/"+s.Name, func(t *testing.T) {
+				t.Parallel()
+				s.run(t, command)
+			})
+		}
+	}
+}
+
+// TestSignalsUntilProcessIsGone guards against a process that has drained and that a further signal ends before it
+// reports its exit status.
+func TestSignalsUntilProcessIsGone(t *testing.T) {
+	const rounds = 10
+	for i := range rounds {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
 			t.Parallel()
-			cmd, lines := startPlatformNode(t)
+			cmd, lines := startNode(t, "node")
 			awaitLine(t, lines, "Started.")
 			sendSignal(t, cmd, syscall.SIGTERM)
-			awaitLine(t, lines, "Draining.")
-			for _, name := range s.Signals {
-				sendSignal(t, cmd, numbers[name])
-			}
 			awaitLine(t, lines, "Drained.")
+			go signalUntilDone(cmd.Process)
 			readToEnd(lines)
 			if err := cmd.Wait(); err != nil {
 				t.Errorf("the process ended with %v", err)
@@ -54,19 +68,49 @@
 	}
 }
 
-// startPlatformNode starts a node on the users' platform as a process, and returns it with the lines of its log.
-func startPlatformNode(t *testing.T) (*exec.Cmd, *bufio.Scanner) {
+// signalUntilDone sends SIGTERM to the process until another goroutine has waited for its end.
+func signalUntilDone(process *os.Process) {
+	for process.Signal(syscall.SIGTERM) == nil {
+		runtime.Gosched()
+	}
+}
+
+var signalNumbers = map[string]syscall.Signal{"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM}
+
+// run sends the signals to a node that is run by the command.
+func (s *stopSignals) run(t *testing.T, command string) {
+	cmd, lines := startNode(t, command)
+	awaitLine(t, lines, "Started.")
+	for _, name := range s.Before {
+		sendSignal(t, cmd, signalNumbers[name])
+		awaitLine(t, lines, "The settings were read again.")
+	}
+	sendSignal(t, cmd, syscall.SIGTERM)
+	awaitLine(t, lines, "Draining.")
+	for _, name := range s.Signals {
+		sendSignal(t, cmd, signalNumbers[name])
+	}
+	awaitLine(t, lines, "Drained.")
+	readToEnd(lines)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
+// startNode starts a node as a process, and returns it with the lines of its log.
+func startNode(t *testing.T, command string) (*exec.Cmd, *bufio.Scanner) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), awaitTimeout)
-	cmd := exec.CommandContext(ctx, "marigoldrelay", "platform", "--settings", writePlatformSettings(t))
-	cmd.Stderr = os.Stderr
-	logs, err := cmd.StdoutPipe()
+	cmd := exec.CommandContext(ctx, "marigoldrelay", command, "--settings", writeStopSettings(t, command))
+	logs, output, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	_ = output.Close()
 	t.Cleanup(func() {
 		cancel()
 		_, _ = io.Copy(io.Discard, logs)
@@ -76,21 +120,25 @@
 	return cmd, bufio.NewScanner(logs)
 }
 
-// writePlatformSettings writes the settings of a node whose drain is short, and returns the path of the file.
-func writePlatformSettings(t *testing.T) string {
+// writeStopSettings writes the settings of a node whose drain is short, and returns the path of the file.
+func writeStopSettings(t *testing.T, command string) string {
 	t.Helper()
 	const grace = 1500 * time.Millisecond
 	addresses, err := demonstrator.FreeAddresses(5)
 	if err != nil {
 		t.Fatal(err)
 	}
-	text, err := json.Marshal(map[string]any{
-		"platform-address": addresses[0], "bounds": map[string]any{"grace_s": grace.Seconds()}, "control-bytes-per-second": 7000,
-		"node": map[string]any{
-			"name": "n1", "data-centre": "d1", "region": "r1", "caller-address": addresses[1], "peer-address": addresses[2],
-			"control-address": addresses[3], "admin-address": addresses[4], "trust-network": true, "log-level": "info",
-		},
-	})
+	settings := map[string]any{
+		"name": "n1", "data-centre": "d1", "region": "r1", "caller-address": addresses[1], "peer-address": addresses[2],
+		"control-address": addresses[3], "admin-address": addresses[4], "trust-network": true, "log-level": "info",
+	}
+	if command == "platform" {
+		settings = map[string]any{
+			"platform-address": addresses[0], "bounds": map[string]any{"grace_s": grace.Seconds()},
+			"control-bytes-per-second": 7000, "node": settings,
+		}
+	}
+	text, err := json.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -111,12 +159,14 @@
 // awaitLine reads lines until one contains the text.
 func awaitLine(t *testing.T, lines *bufio.Scanner, text string) {
 	t.Helper()
+	last := ""
 	for lines.Scan() {
-		if strings.Contains(lines.Text(), text) {
+		last = lines.Text()
+		if strings.Contains(last, text) {
 			return
 		}
 	}
-	t.Errorf("the process ended before the line %q", text)
+	t.Errorf("the process ended before the line %q; its last one is %q", text, last)
 }
 
 // readToEnd reads the remaining lines, which end with the process.
