--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -396,7 +396,8 @@
 }
 
 // writeHead writes the response at the head of the queue and starts the requests that may run after it. While the
-// listener drains, the response closes the connection unless the next request has been read or is being received. It is called with mu held, which it releases while it writes: the caller may be slow to read.
+// listener drains, the response closes the connection unless the next request has been read or is being received. It is
+// called with mu held, which it releases while it writes: the caller may be slow to read.
 func (c *conn) writeHead(writer *bufio.Writer) {
 	x := c.queue[0]
 	if c.listener.draining.Load() && len(c.queue) == 1 && !c.receiving {
