--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"sync"
@@ -136,79 +134,6 @@
 	return c.enqueue(x) && !isLast
 }
 
-// readRequest reads the request whose first byte has arrived.
-func (c *conn) readRequest() (*exchange, error) {
-	limits := c.listener.Limits()
-	x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}}
-	if err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+requestLineBytes); err != nil {
-		return x, err
-	}
-	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
-		return x, &fasthttp.ErrSmallBuffer{}
-	}
-	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
-		return x, err
-	}
-	x.concurrent = x.request.Header.IsGet() || x.request.Header.IsHead()
-	x.closeAfter = x.request.ConnectionClose() || c.isLastOfDrain()
-	return x, nil
-}
-
-// isLastOfDrain reports whether a request that was read is the last one for which a draining listener keeps the
-// connection open.
-func (c *conn) isLastOfDrain() bool {
-	if !c.listener.draining.Load() {
-		return false
-	}
-	c.drainReads++
-	return c.drainReads >= maxDrainReads
-}
-
-// readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
-// because most connections never receive one.
-func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
-	err := header.Read(c.reader)
-	var small *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &small) || c.reader.Size() >= limit {
-		return err
-	}
-	buffered, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return err
-	}
-	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn)
-	c.reader = bufio.NewReaderSize(rest, limit)
-	return header.Read(c.reader)
-}
-
-// readBody reads a body of at most limit bytes, after an interim 100 response if the caller expects one.
-func (c *conn) readBody(req *fasthttp.Request, limit int) error {
-	if req.MayContinue() {
-		if err := c.writeContinue(); err != nil {
-			return err
-		}
-	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return req.ContinueReadBody(c.reader, limit, false)
-}
-
-// writeContinue writes the interim 100 response when the requests before are answered, so that it is not taken for a part
-// of their responses.
-func (c *conn) writeContinue() error {
-	c.mu.Lock()
-	for len(c.queue) > 0 {
-		c.dequeued.Wait()
-	}
-	closing := c.closing
-	c.mu.Unlock()
-	if closing {
-		return net.ErrClosed
-	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	return err
-}
-
 // awaitRequest waits until fewer than maxPipelined requests are unanswered and the first byte of the next one has
 // arrived. It returns false when no further request is to be read, and cancels the running ones when the caller has
 // disconnected. Only here is a connection found to be idle, so that none is closed under a request that has arrived.
@@ -307,25 +232,6 @@
 	c.writeReady()
 }
 
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
-// isDisconnect reports whether a request is incomplete because the caller closed the connection or the network failed.
-// A timeout does not count, because the caller can still read why its request is refused.
-func isDisconnect(err error) bool {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return true
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) {
-		return !isTimeout(err)
-	}
-	var nothingRead fasthttp.ErrNothingRead
-	return errors.As(err, &nothingRead)
-}
-
 // enqueue adds the received exchange to the queue and starts those that may run. It returns false if the connection has
 // failed meanwhile.
 func (c *conn) enqueue(x *exchange) bool {
@@ -344,97 +250,6 @@
 	return true
 }
 
-// takeStartable returns the exchanges that are to be started now and marks them as started: the first in the queue,
-// and those behind it as long as all are GET or HEAD requests, which have no side effects. Nothing is started behind a
-// first exchange that closes the connection. It is called with mu held.
-func (c *conn) takeStartable() []*exchange {
-	var startable []*exchange
-	for i, x := range c.queue {
-		if i > 0 && (!x.concurrent || !c.queue[i-1].concurrent) {
-			break
-		}
-		if c.queue[0].closeAfter && i > 0 {
-			break
-		}
-		if !x.started {
-			x.started = true
-			startable = append(startable, x)
-		}
-	}
-	return startable
-}
-
-// start runs the handler of each exchange in its own goroutine, which then writes the responses that are ready.
-func (c *conn) start(exchanges []*exchange) {
-	for _, x := range exchanges {
-		go func() {
-			c.listener.Handle(c.ctx, x.request, x.response)
-			c.mu.Lock()
-			x.done = true
-			c.mu.Unlock()
-			c.writeReady()
-		}()
-	}
-}
-
-// writeReady writes the responses at the head of the queue that are done, up to one that closes the connection, and
-// starts the requests that may run after each. It returns at once if another goroutine writes, which then writes these
-// responses as well.
-func (c *conn) writeReady() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writing {
-		return
-	}
-	c.writing = true
-	writer := bufio.NewWriterSize(c.Conn, writeBufferBytes)
-	for len(c.queue) > 0 && c.queue[0].done {
-		c.writeHead(writer)
-	}
-	c.writing = false
-	c.resumeIdle()
-}
-
-// writeHead writes the response at the head of the queue and starts the requests that may run after it. While the
-// listener drains, the response closes the connection unless the next request has been read or is being received. It is
-// called with mu held, which it releases while it writes: the caller may be slow to read.
-func (c *conn) writeHead(writer *bufio.Writer) {
-	x := c.queue[0]
-	if c.listener.draining.Load() && len(c.queue) == 1 && !c.receiving {
-		x.closeAfter = true
-	}
-	if x.closeAfter {
-		c.closing = true
-		x.response.SetConnectionClose()
-	}
-	x.response.SkipBody = x.request.Header.IsHead()
-	c.mu.Unlock()
-	err := c.writeResponse(writer, x.response)
-	c.mu.Lock()
-	defer c.dequeued.Broadcast()
-	if err != nil {
-		c.discardQueue(CauseCallerGone)
-		c.abort()
-		return
-	}
-	c.queue = c.queue[1:]
-	if x.closeAfter {
-		c.discardQueue(CauseBehindLast)
-		c.lingeringClose()
-		return
-	}
-	c.start(c.takeStartable())
-}
-
-// writeResponse writes and flushes one response.
-func (c *conn) writeResponse(writer *bufio.Writer, resp *fasthttp.Response) error {
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := resp.Write(writer); err != nil {
-		return err
-	}
-	return writer.Flush()
-}
-
 // resumeIdle sets the idle timeout again after the last unanswered request, unless the connection is closing: the deadline
 // is then that of lingeringClose. It is called with mu held.
 func (c *conn) resumeIdle() {
@@ -443,17 +258,6 @@
 	}
 }
 
-// discardQueue discards the remaining requests of a connection that ends. Those that have been started run until they
-// notice it. It is called with mu held.
-func (c *conn) discardQueue(cause UnansweredCause) {
-	c.closing = true
-	// What Abort ends is reported there.
-	if !c.aborted {
-		c.reportQueue(cause)
-	}
-	c.queue = nil
-}
-
 // lingeringClose closes the connection for writing after the last response. Further input is read for lingerTimeout,
 // because closing a connection with unread input would reset it before the caller has read the response. It closes the
 // connection at once if it can't be half-closed. It is called with mu held.
--- /dev/null
+++ b/internal/listener/request.go
@@ -0,0 +1,104 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// readRequest reads the request whose first byte has arrived.
+func (c *conn) readRequest() (*exchange, error) {
+	limits := c.listener.Limits()
+	x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}}
+	if err := c.readHeader(&x.request.Header, limits.MaxHeaderBytes+requestLineBytes); err != nil {
+		return x, err
+	}
+	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
+		return x, &fasthttp.ErrSmallBuffer{}
+	}
+	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
+		return x, err
+	}
+	x.concurrent = x.request.Header.IsGet() || x.request.Header.IsHead()
+	x.closeAfter = x.request.ConnectionClose() || c.isLastOfDrain()
+	return x, nil
+}
+
+// isLastOfDrain reports whether a request that was read is the last one for which a draining listener keeps the
+// connection open.
+func (c *conn) isLastOfDrain() bool {
+	if !c.listener.draining.Load() {
+		return false
+	}
+	c.drainReads++
+	return c.drainReads >= maxDrainReads
+}
+
+// readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
+// because most connections never receive one.
+func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
+	err := header.Read(c.reader)
+	var small *fasthttp.ErrSmallBuffer
+	if !errors.As(err, &small) || c.reader.Size() >= limit {
+		return err
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn)
+	c.reader = bufio.NewReaderSize(rest, limit)
+	return header.Read(c.reader)
+}
+
+// readBody reads a body of at most limit bytes, after an interim 100 response if the caller expects one.
+func (c *conn) readBody(req *fasthttp.Request, limit int) error {
+	if req.MayContinue() {
+		if err := c.writeContinue(); err != nil {
+			return err
+		}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return req.ContinueReadBody(c.reader, limit, false)
+}
+
+// writeContinue writes the interim 100 response when the requests before are answered, so that it is not taken for a part
+// of their responses.
+func (c *conn) writeContinue() error {
+	c.mu.Lock()
+	for len(c.queue) > 0 {
+		c.dequeued.Wait()
+	}
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		return net.ErrClosed
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// isDisconnect reports whether a request is incomplete because the caller closed the connection or the network failed.
+// A timeout does not count, because the caller can still read why its request is refused.
+func isDisconnect(err error) bool {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return true
+	}
+	var netErr net.Error
+	if errors.As(err, &netErr) {
+		return !isTimeout(err)
+	}
+	var nothingRead fasthttp.ErrNothingRead
+	return errors.As(err, &nothingRead)
+}
