--- a/internal/cmd/soak_planned_test.go
+++ b/internal/cmd/soak_planned_test.go
@@ -64,46 +64,96 @@
 	return counts
 }
 
+// plannedWork is a piece of planned work on one node of the soak.
+type plannedWork struct {
+	*soak
+	// index is the node's index.
+	index    int
+	node     *process
+	upstream *process
+	// pause is the time between two steps of the work.
+	pause time.Duration
+}
+
 // workAsPlanned does one random piece of planned work.
 func (s *soak) workAsPlanned() {
 	i := s.randomInt(len(s.nodes))
-	next := (i + 1) % len(s.nodes)
-	node, upstream := s.processes[2*i], s.processes[2*i+1]
 	pause := time.Duration(s.randomInt(400)) * time.Millisecond
-	reloads := func() { s.reload(node, 1+s.randomInt(5)) }
-	stopAgain := func() {
-		time.Sleep(pause)
-		node.signal(syscall.SIGTERM)
-	}
+	w := &plannedWork{soak: s, index: i, node: s.processes[2*i], upstream: s.processes[2*i+1], pause: pause}
 	events := []struct {
 		name string
-		acts []func()
+		act  func()
 	}{
-		{"reload", []func(){func() { node.whileLocked(reloads) }}},
-		{"stop", []func(){func() { s.stopNode(i, pause) }}},
-		{"stop twice", []func(){func() { s.stopNode(i, pause, stopAgain) }}},
-		{"stop and reload", []func(){func() { s.stopNode(i, pause, reloads) }}},
-		{"reload and stop", []func(){func() { node.whileLocked(reloads) }, func() { s.stopNode(i, pause) }}},
-		{"stop at start", []func(){func() { s.stopNode(i, pause) }, func() { time.Sleep(pause / 8) }, func() { node.stopAndStart(0) }}},
-		{"reload at start", []func(){func() { s.stopNode(i, pause) }, func() { node.whileLocked(reloads) }}},
-		{"stop next as well", []func(){func() {
-			together(func() { s.stopNode(i, 0) }, func() { time.Sleep(2 * pause); s.stopNode(next, 0) })
-		}}},
-		{"stop upstream", []func(){func() { upstream.stopAndStart(pause) }}},
-		{"stop both", []func(){func() {
-			together(func() { s.stopNode(i, pause, reloads) }, func() { upstream.stopAndStart(pause) })
-		}}},
+		{"reload", w.reload},
+		{"stop", func() { w.stop() }},
+		{"stop twice", func() { w.stop(w.stopAgain) }},
+		{"stop and reload", func() { w.stop(w.sendHangups) }},
+		{"reload and stop", w.reloadAndStop},
+		{"stop at start", w.stopAtStart},
+		{"reload at start", w.reloadAtStart},
+		{"stop next as well", w.stopNextAsWell},
+		{"stop upstream", w.stopUpstream},
+		{"stop both", func() { together(func() { w.stop(w.sendHangups) }, w.stopUpstream) }},
 	}
 	event := events[s.randomInt(len(events))]
 	s.mu.Lock()
 	s.faults[event.name]++
 	s.mu.Unlock()
-	for _, act := range event.acts {
-		act()
-	}
+	event.act()
 	time.Sleep(pause / 2)
 }
 
+// stop stops the node and starts it again, while callers keep connections to it.
+func (w *plannedWork) stop(meanwhile ...func()) {
+	w.stopNode(w.index, w.pause, meanwhile...)
+}
+
+func (w *plannedWork) stopAgain() {
+	time.Sleep(w.pause)
+	w.node.signal(syscall.SIGTERM)
+}
+
+// sendHangups sends a series of SIGHUPs to the node.
+func (w *plannedWork) sendHangups() {
+	for range 1 + w.randomInt(5) {
+		w.node.signal(syscall.SIGHUP)
+		time.Sleep(time.Duration(w.randomInt(200)) * time.Millisecond)
+	}
+}
+
+func (w *plannedWork) reload() {
+	w.node.whileLocked(w.sendHangups)
+}
+
+func (w *plannedWork) reloadAndStop() {
+	w.reload()
+	w.stop()
+}
+
+func (w *plannedWork) reloadAtStart() {
+	w.stop()
+	w.reload()
+}
+
+func (w *plannedWork) stopAtStart() {
+	w.stop()
+	time.Sleep(w.pause / 8)
+	w.node.stopAndStart(0)
+}
+
+// stopNextAsWell stops the next node while this one drains.
+func (w *plannedWork) stopNextAsWell() {
+	next := (w.index + 1) % len(w.nodes)
+	together(func() { w.stopNode(w.index, 0) }, func() {
+		time.Sleep(2 * w.pause)
+		w.stopNode(next, 0)
+	})
+}
+
+func (w *plannedWork) stopUpstream() {
+	w.upstream.stopAndStart(w.pause)
+}
+
 // stopNode stops a node and starts it again, while callers keep connections to it.
 func (s *soak) stopNode(i int, pause time.Duration, meanwhile ...func()) {
 	var late sync.WaitGroup
@@ -121,14 +171,6 @@
 	running.Wait()
 }
 
-// reload sends a series of SIGHUPs to a node.
-func (s *soak) reload(p *process, count int) {
-	for range count {
-		p.signal(syscall.SIGHUP)
-		time.Sleep(time.Duration(s.randomInt(200)) * time.Millisecond)
-	}
-}
-
 // whileLocked calls act on a process that nothing else is done to meanwhile.
 func (p *process) whileLocked(act func()) {
 	p.mu.Lock()
@@ -147,7 +189,7 @@
 		act()
 	}
 	p.awaitExit()
-	if p.args[0] == "node" {
+	if p.isNode() {
 		p.checkExit()
 	}
 	time.Sleep(pause)
--- a/internal/cmd/soak_process_test.go
+++ b/internal/cmd/soak_process_test.go
@@ -52,6 +52,11 @@
 	p.cmd, p.exited, p.outputs = cmd, exited, append(p.outputs, path)
 }
 
+// isNode reports whether the process runs a node, rather than an upstream.
+func (p *process) isNode() bool {
+	return p.args[0] == "node"
+}
+
 func (p *process) signal(signal syscall.Signal) {
 	// Signal fails if the process has already ended.
 	_ = p.cmd.Process.Signal(signal)
--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -179,7 +179,7 @@
 
 // hangUp sends SIGHUP, which makes a node read its settings again and ends an upstream at once.
 func (s *soak) hangUp(target *process, pause time.Duration) {
-	if !s.isNode(target) {
+	if !target.isNode() {
 		target.restart(syscall.SIGHUP, pause)
 		return
 	}
@@ -188,10 +188,6 @@
 	target.startIfEnded()
 }
 
-func (s *soak) isNode(p *process) bool {
-	return p.args[0] == "node"
-}
-
 // load sends requests through all proxies for the time d and records their outcomes.
 func (s *soak) load(d time.Duration) {
 	config := loadgenerator.Config{
