--- a/internal/cmd/soak_late_test.go
+++ b/internal/cmd/soak_late_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,9 +16,6 @@
 	lateSpread = 30 * time.Millisecond
 )
 
-// lateCount numbers the late callers.
-var lateCount atomic.Int64
-
 // sendLate opens connections to a node that has just been told to stop, and sends requests on them at about the time at
 // which it closes idle ones.
 func (s *soak) sendLate(i int) {
@@ -27,7 +23,7 @@
 	defer callers.Wait()
 	started := time.Now()
 	for n := range lateCallers {
-		name := fmt.Sprintf("late-%d", lateCount.Add(1))
+		name := fmt.Sprintf("late-%d", s.lateCount.Add(1))
 		caller := plannedCaller{soak: s, name: name, batch: 1 + n%3, path: entriesPath, post: n%2 == 0}
 		raw, err := net.Dial("tcp", s.nodes[i].caller.String())
 		if err != nil {
--- a/internal/cmd/soak_process_test.go
+++ b/internal/cmd/soak_process_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 )
 
 // stopLimit is the time within which a process ends by itself after SIGTERM: the limit of a drain, and the time to close.
@@ -109,9 +111,6 @@
 	}
 }
 
-// unansweredOwn are parts of the log line on a request that this process had read and did not answer.
-var unansweredOwn = []string{"A request ended without an answer.", "cause=aborted"}
-
 // checkOutput fails the test for each line of the process on a request that it has read and not answered, a failed
 // invariant or a panic.
 func (p *process) checkOutput() {
@@ -122,12 +121,16 @@
 			continue
 		}
 		for lines := bufio.NewScanner(file); lines.Scan(); {
-			line := lines.Text()
-			isUnanswered := strings.Contains(line, unansweredOwn[0]) && strings.Contains(line, unansweredOwn[1])
-			if isUnanswered || strings.Contains(line, "An invariant failed.") || strings.HasPrefix(line, "panic: ") {
-				p.t.Errorf("seed %d: %v: %s", *soakSeed, p.args, line)
+			if isFault(lines.Text()) {
+				p.t.Errorf("seed %d: %v: %s", *soakSeed, p.args, lines.Text())
 			}
 		}
 		_ = file.Close()
 	}
 }
+
+func isFault(line string) bool {
+	isUnanswered := strings.Contains(line, "A request ended without an answer.") &&
+		strings.Contains(line, "cause="+string(listener.CauseAborted))
+	return isUnanswered || strings.Contains(line, "An invariant failed.") || strings.HasPrefix(line, "panic: ")
+}
--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,11 +37,13 @@
 // soak runs nodes and upstreams as processes, injects faults from outside and compares the outcomes that
 // callers saw with the requests that upstreams ran.
 type soak struct {
-	faults   map[string]int
-	folder   string
-	mu       sync.Mutex
-	outcomes []loadgenerator.Outcome
-	nodes    []nodeAddresses
+	faults map[string]int
+	folder string
+	// lateCount numbers the late callers.
+	lateCount atomic.Int64
+	mu        sync.Mutex
+	outcomes  []loadgenerator.Outcome
+	nodes     []nodeAddresses
 	// processes holds the nodes at even indexes, each with its upstream behind it.
 	processes []*process
 	proxies   []*proxy
