--- a/internal/cmd/soak_test.go
+++ b/internal/cmd/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,11 +37,13 @@
 // soak runs nodes and upstreams as processes, injects faults from outside and compares the outcomes that
 // callers saw with the requests that upstreams ran.
 type soak struct {
-	faults   map[string]int
-	folder   string
-	mu       sync.Mutex
-	outcomes []loadgenerator.Outcome
-	nodes    []nodeAddresses
+	faults map[string]int
+	folder string
+	// lateCount numbers the late callers.
+	lateCount atomic.Int64
+	mu        sync.Mutex
+	outcomes  []loadgenerator.Outcome
+	nodes     []nodeAddresses
 	// processes holds the nodes at even indexes, each with its upstream behind it.
 	processes []*process
 	proxies   []*proxy
@@ -179,7 +182,7 @@
 
 // hangUp sends SIGHUP, which makes a node read its settings again and ends an upstream at once.
 func (s *soak) hangUp(target *process, pause time.Duration) {
-	if !s.isNode(target) {
+	if !target.isNode() {
 		target.restart(syscall.SIGHUP, pause)
 		return
 	}
@@ -188,10 +191,6 @@
 	target.startIfEnded()
 }
 
-func (s *soak) isNode(p *process) bool {
-	return p.args[0] == "node"
-}
-
 // load sends requests through all proxies for the time d and records their outcomes.
 func (s *soak) load(d time.Duration) {
 	config := loadgenerator.Config{
