Let the test's interrupted round reach its replicas before it is given up

The first round can be given up, since it can't succeed, while its one accept request is still on the way to a; then a holds nothing of it, and the second round has nothing to complete. With that request held up by 20 ms the test fails in each of 3 runs. Now the other requests are lost only when those to be delivered have arrived: none of 3 runs with the delay fails, nor of 240 on one core each without it. The checks are as before; with the fix taken out the test still says that version 1 was read after version 2 was acknowledged.

--- a/internal/replicator/interruption_test.go
+++ b/internal/replicator/interruption_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 )
 
@@ -22,9 +23,50 @@
 	return l.Transport.Accept(ctx, vm, request)
 }
 
+// orderedAccepts is a limitedAccepts whose requests are lost only when the others have arrived: a round that can't
+// succeed any more is given up, with the requests that are still on their way.
+type orderedAccepts struct {
+	limitedAccepts
+
+	mu      sync.Mutex
+	arrived map[string]bool
+	// allArrived is closed when a request has reached each of the VMs.
+	allArrived chan struct{}
+}
+
+// Accept implements Transport.
+func (o *orderedAccepts) Accept(ctx context.Context, vm string, request AcceptRequest) (AcceptReply, error) {
+	if !slices.Contains(o.reached, vm) {
+		select {
+		case <-o.allArrived:
+		case <-ctx.Done():
+		}
+		return AcceptReply{}, errMessageLost
+	}
+	reply, err := o.limitedAccepts.Accept(ctx, vm, request)
+	o.noteArrival(vm)
+	return reply, err
+}
+
+func (o *orderedAccepts) noteArrival(vm string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.arrived[vm] {
+		return
+	}
+	o.arrived[vm] = true
+	if len(o.arrived) == len(o.reached) {
+		close(o.allArrived)
+	}
+}
+
 // dyingProposer returns a proposer whose accept requests reach only the given VMs.
 func (c *cluster) dyingProposer(name string, replicas []Replica, reached ...string) *Proposer {
-	p := NewProposer(c.proposer("x", nil).clock, name, limitedAccepts{Transport: c, reached: reached})
+	transport := &orderedAccepts{
+		limitedAccepts: limitedAccepts{Transport: c, reached: reached},
+		arrived:        make(map[string]bool), allArrived: make(chan struct{}),
+	}
+	p := NewProposer(c.proposer("x", nil).clock, name, transport)
 	p.SetConfirmedReplicas(replicas)
 	return p
 }
