Show all counters of unanswered requests from the start, and end no run after a clean drain

The counters of the causes existed only once they had counted, so that a missing one could not be told from zero. Cancelling the drain's time at its end also stopped what ran at the upstream by then, such as an attempt that held a promised slot. Both were found in review by reading.

--- a/internal/listener/unanswered.go
+++ b/internal/listener/unanswered.go
@@ -5,7 +5,7 @@
 // UnansweredCause is the reason why a request, or a part of one, got no whole response.
 type UnansweredCause string
 
-// The causes. IsOwn reports whether one is a fault of this process.
+// The causes. Only CauseAborted is a fault of this process.
 const (
 	// CauseAborted means that Abort has closed the connection while the request was processed.
 	CauseAborted UnansweredCause = "aborted"
@@ -22,11 +22,6 @@
 	return []UnansweredCause{CauseAborted, CauseBehindLast, CauseCallerGone, CauseIncomplete}
 }
 
-// IsOwn reports whether this process had the whole request and could have answered it.
-func (c UnansweredCause) IsOwn() bool {
-	return c == CauseAborted
-}
-
 // reportUnanswered reports a request that ends without a whole response. The request is nil if it was not read in full
 // or its handler still runs.
 func (c *conn) reportUnanswered(cause UnansweredCause, req *fasthttp.Request) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 )
 
@@ -55,7 +56,7 @@
 	set *metrics.Set
 }
 
-// New returns a meter in which every refusal and retry counter exists and is zero.
+// New returns a meter in which the counters of all refusals, retries and unanswered requests exist and are zero.
 func New() *Meter {
 	metrics.ExposeMetadata(true)
 	m := &Meter{histograms: metrics.NewSet(), set: metrics.NewSet()}
@@ -68,6 +69,9 @@
 	for _, reason := range []RetryRefusal{RetryRefusalBudget, RetryRefusalDeadline, RetryRefusalNested, RetryRefusalAttempts, RetryRefusalUpstreamBudget} {
 		m.retryRefusalCounter(reason)
 	}
+	for _, cause := range listener.UnansweredCauses() {
+		m.unansweredCounter(cause)
+	}
 	return m
 }
 
@@ -102,12 +106,12 @@
 	m.refusalCounter(reason).Inc()
 }
 
-func (m *Meter) unansweredCounter(cause string) *metrics.Counter {
+func (m *Meter) unansweredCounter(cause listener.UnansweredCause) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_requests_unanswered_total{cause=%q}`, cause))
 }
 
 // Unanswered counts a request that ended without a whole response.
-func (m *Meter) Unanswered(cause string) {
+func (m *Meter) Unanswered(cause listener.UnansweredCause) {
 	m.unansweredCounter(cause).Inc()
 }
 
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -87,7 +87,7 @@
 	started := n.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	context.AfterFunc(ctx, n.executor.Stop)
+	defer context.AfterFunc(ctx, n.executor.Stop)()
 	n.draining.Store(true)
 	for _, l := range n.requestListeners {
 		l.Drain()
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -128,7 +128,7 @@
 // requestUnanswered counts and logs a request that ended without a whole response. The request is nil if it was not read
 // in full.
 func (n *Node) requestUnanswered(cause listener.UnansweredCause, req *fasthttp.Request) {
-	n.meter.Unanswered(string(cause))
+	n.meter.Unanswered(cause)
 	id := ""
 	if req != nil {
 		// A request whose headers can't be read is reported without its ID.
