Look at a peer's connection only when its dial has ended

At worst the connection of the other call was taken for the failed one and dropped from the table.

TestFailedCallBesideDial is reported as a race before and passes 20 times with the race detector now, as does the other one.

--- a/internal/messenger/close_test.go
+++ b/internal/messenger/close_test.go
@@ -73,3 +73,27 @@
 		t.Errorf("%d of %d calls that had begun got no reply", begun-replied, begun)
 	}
 }
+
+// TestFailedCallBesideDial guards against a failed call that looks at the connection which another call is dialling. The
+// race detector finds it.
+func TestFailedCallBesideDial(t *testing.T) {
+	key, err := signer.New([]byte("a key for the tests only"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New(key, noCounter{})
+	defer m.Abort()
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	failed := m.newConn(local, PurposeBinding)
+	to := endpoint{netip.MustParseAddrPort("127.0.0.1:1"), PurposeBinding}
+	dialling := &outgoingConn{ready: make(chan struct{})}
+	m.outgoing[to] = dialling
+	var dial sync.WaitGroup
+	dial.Go(func() {
+		dialling.conn = failed
+		close(dialling.ready)
+	})
+	m.closeOutgoing(to, failed)
+	dial.Wait()
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -104,6 +104,16 @@
 	ready chan struct{}
 }
 
+// isReady reports whether conn and err can be read.
+func (o *outgoingConn) isReady() bool {
+	select {
+	case <-o.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // New returns a messenger that signs with key and counts the sent bytes with counter. Handle must be called before
 // Serve.
 func New(key *signer.Signer, counter ByteCounter) *Messenger {
@@ -302,7 +312,7 @@
 // closeOutgoing closes conn and removes it, unless another connection has replaced it.
 func (m *Messenger) closeOutgoing(to endpoint, conn *jsonrpc2.Conn) {
 	m.mu.Lock()
-	if out := m.outgoing[to]; out != nil && out.conn == conn {
+	if out := m.outgoing[to]; out != nil && out.isReady() && out.conn == conn {
 		delete(m.outgoing, to)
 	}
 	m.mu.Unlock()
@@ -357,12 +367,8 @@
 		openConns = append(openConns, conn)
 	}
 	for _, out := range m.outgoing {
-		select {
-		case <-out.ready:
-			if out.conn != nil {
-				openConns = append(openConns, out.conn)
-			}
-		default:
+		if out.isReady() && out.conn != nil {
+			openConns = append(openConns, out.conn)
 		}
 	}
 	m.mu.Unlock()
