--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -142,6 +142,9 @@
 	document         atomic.Pointer[validator.Document]
 	draining         atomic.Bool
 	safeFingerprints *quarantiner.SafeFingerprints
+	// stopped is cancelled by stop when running requests are to end.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu           sync.Mutex
 	announcement announcer.Announcement
@@ -158,7 +161,10 @@
 
 // New returns an executor whose upstream is gone until HandleAnnouncement is called.
 func New(config Config) *Executor {
+	stopped, stop := context.WithCancel(context.Background())
 	return &Executor{
+		stopped:          stopped,
+		stop:             stop,
 		Config:           config,
 		announcement:     announcer.Announcement{State: announcer.StateGone},
 		grants:           make(map[uint64]*scheduler.Waiter),
@@ -234,6 +240,11 @@
 	e.applyLimit()
 }
 
+// Stop cancels the non-idempotent requests that are running at the upstream. The others end with their callers.
+func (e *Executor) Stop() {
+	e.stop()
+}
+
 // Running returns the number of requests that are running at the upstream.
 func (e *Executor) Running() int {
 	e.mu.Lock()
@@ -399,6 +410,12 @@
 	if x.Attempt.Grant != 0 {
 		return nil
 	}
+	return e.stateRefusal(x)
+}
+
+// stateRefusal returns a refusal if the node drains or its upstream is not ready for the attempt, or nil. It is called
+// with mu held.
+func (e *Executor) stateRefusal(x *Execution) *refuser.Refusal {
 	state := e.announcement.State
 	if e.draining.Load() || state == announcer.StateDraining {
 		return refuser.New(refuser.ReasonDraining, "the server is leaving")
