--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -101,7 +101,10 @@
 	probeQueue []string
 	lastProbe  time.Time
 	hasLeft    bool
-	members    map[string]*entry
+	isDraining bool
+	// isNotifying is set while a goroutine passes events to the observer, also those of others.
+	isNotifying bool
+	members     map[string]*entry
 	// lastOrder is the order number of the newest update.
 	lastOrder int
 	// outbox holds the datagrams to be sent when mu is released.
@@ -240,12 +243,31 @@
 // unlockAndFlush releases mu, sends the queued datagrams and passes the collected events to the
 // observer.
 func (g *Gossiper) unlockAndFlush() {
-	outbox, changed, senderStates := g.outbox, g.changed, g.senderStates
-	g.outbox, g.changed, g.senderStates = nil, nil, nil
+	outbox := g.outbox
+	g.outbox = nil
+	isNotifying := g.isNotifying
+	g.isNotifying = true
 	g.mu.Unlock()
 	for _, d := range outbox {
 		g.transport.Send(d.to, d.data)
 	}
+	if isNotifying {
+		return
+	}
+	for g.notifyObserver() {
+	}
+}
+
+// notifyObserver passes the collected events to the observer. It returns false, and gives the next caller of
+// unlockAndFlush its turn, when there are none. Only one goroutine calls it at a time, so that the observer gets the
+// changes of a member in their order.
+func (g *Gossiper) notifyObserver() bool {
+	g.mu.Lock()
+	changed, senderStates := g.changed, g.senderStates
+	g.changed, g.senderStates = nil, nil
+	g.isNotifying = len(changed)+len(senderStates) > 0
+	isNotifying := g.isNotifying
+	g.mu.Unlock()
 	for _, m := range changed {
 		g.observer.MemberChanged(m)
 	}
@@ -255,6 +277,7 @@
 			g.observer.ViewDiffers(v.from)
 		}
 	}
+	return isNotifying
 }
 
 // handle processes the parts of a packet that depend on its kind.
@@ -271,13 +294,30 @@
 }
 
 // SetUpstream updates the service, slots and state of the local upstream in the member's own record and
-// spreads the change.
+// spreads the change. After Drain no upstream becomes ready.
 func (g *Gossiper) SetUpstream(service string, slots int, state announcer.State) {
 	g.mu.Lock()
 	self := g.members[g.self].Member
 	self.Service = service
 	self.Slots = slots
 	self.Upstream = state
+	if g.isDraining && state == announcer.StateReady {
+		self.Upstream = announcer.StateDraining
+	}
+	g.putSelf(self)
+}
+
+// Drain announces to the other members that this one gets no more attempts, whatever its upstream announces.
+func (g *Gossiper) Drain() {
+	g.mu.Lock()
+	g.isDraining = true
+	self := g.members[g.self].Member
+	self.Upstream = announcer.StateDraining
+	g.putSelf(self)
+}
+
+// putSelf stores and spreads a change of the member's own record. It is called with mu held and releases it.
+func (g *Gossiper) putSelf(self Member) {
 	self.Sequence++
 	g.put(self)
 	g.changed = append(g.changed, self)
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -54,6 +54,10 @@
 	acceptor *replicator.Acceptor
 	proposer *replicator.Proposer
 
+	// callCtx is done when the calls of operators that still run are to be answered at once.
+	callCtx        context.Context
+	interruptCalls context.CancelFunc
+
 	mu sync.Mutex
 	// skippedUntil holds the time until which a leader that did not answer is skipped, by name.
 	skippedUntil map[string]time.Time
@@ -61,6 +65,7 @@
 
 func (n *Node) buildRegister() error {
 	r := &register{node: n}
+	r.callCtx, r.interruptCalls = context.WithCancel(context.Background())
 	// The wall clock can step back over a restart, so the incarnation alone may not be unique.
 	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
 	r.proposer.SetRoundObserver(n.roundFinished)
@@ -244,8 +249,20 @@
 	}
 }
 
+// interruptible returns a context that is also done after interruptCalls.
+func (r *register) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.callCtx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Read implements administrator.Register.
 func (r *register) Read(ctx context.Context) (*replicator.Value, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	r.assumeAcceptedReplicas()
 	value, err := r.proposer.Read(ctx)
 	if err != nil {
@@ -256,6 +273,8 @@
 
 // Change implements administrator.Register.
 func (r *register) Change(ctx context.Context, change *replicator.Change) (uint64, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	if reply, ok := r.forward(ctx, change); ok {
 		return reply.outcome()
 	}
@@ -287,6 +306,8 @@
 
 // Bootstrap implements administrator.Register.
 func (r *register) Bootstrap(ctx context.Context, change *replicator.Change) (*replicator.Value, error) {
+	ctx, cancel := r.interruptible(ctx)
+	defer cancel()
 	value, err := r.proposer.Bootstrap(ctx, change)
 	if err != nil {
 		return nil, err
@@ -394,7 +415,7 @@
 }
 
 // learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done: the
-// proposer may have died before it could push the value.
+// proposer may have died before it could push the value, or before a change of the replicas was complete.
 func (n *Node) learnChosen(ctx context.Context) {
 	acceptor := n.register.acceptor
 	if acceptor == nil {
@@ -402,7 +423,7 @@
 	}
 	runEvery(ctx, learnInterval, func() {
 		accepted := acceptor.Accepted()
-		if accepted == nil || accepted.Revision <= n.revision() {
+		if accepted == nil || !needsRound(accepted, n.revision()) {
 			return
 		}
 		if leader, ok := n.register.leader(); ok && leader.Name != n.settings.Name && rand.N(nonLeaderLearnDivisor) != 0 {
@@ -412,6 +433,27 @@
 		roundCtx, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
 		// A failed round is retried at a later interval.
-		_, _ = n.register.Read(roundCtx)
+		_ = n.register.learn(roundCtx, accepted)
 	})
 }
+
+// needsRound reports whether a replica that has accepted the value has to run a round: the value is newer than the
+// revision in force, or it needs a majority of its previous replicas as well, whose disks may be lost for good.
+func needsRound(accepted *replicator.Value, revision uint64) bool {
+	return accepted.Revision > revision || len(accepted.Previous) > 0
+}
+
+// learn puts the newest chosen value in force. If the accepted one has a previous set of replicas, it runs a round even
+// if the others need none, because that brings this replica up to date.
+func (r *register) learn(ctx context.Context, accepted *replicator.Value) error {
+	if len(accepted.Previous) == 0 {
+		_, err := r.Read(ctx)
+		return err
+	}
+	r.assumeAcceptedReplicas()
+	value, err := r.proposer.Repair(ctx)
+	if err != nil {
+		return err
+	}
+	return r.publish(value)
+}
