Read, count and log the rate limit and the notice of leaving of an upstream

Cause: nothing read the two headers that an instance in need or one that leaves sets in its answers, and neither a line nor a counter told of them.

Change: the interpreters read both headers of each answer of the instance beside the node, to requests and to probes. A change is logged, and marigoldrelay_upstream_conditions_total counts them by condition and by the kind of answer (answer, not-run, probe). A value that can't be read is invalid, which is not the same as none. Nothing obeys them yet.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/limiter"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
@@ -122,6 +123,8 @@
 	LoadProber LoadProber
 	Meter      *meter.Meter
 	Name       string
+	// OnConditions is called when the conditions in the upstream's responses have changed; it can be nil.
+	OnConditions func(named NamedConditions)
 	// OnUpstreamDown is called with the upstream's instance when its process is gone.
 	OnUpstreamDown func(instance string)
 	Quarantiner    *quarantiner.Quarantiner
@@ -148,15 +151,17 @@
 
 	mu           sync.Mutex
 	announcement announcer.Announcement
-	crash        *crashReport
-	grants       map[uint64]*scheduler.Waiter
-	inFlight     map[*Execution]quarantiner.Fingerprint
-	lastGrant    uint64
-	limit        *limiter.Limiter
-	load         loadReport
-	notices      loadNotices
-	schedule     *scheduler.Scheduler
-	retrySpent   map[string]time.Time
+	// conditions are those of the current instance's last response.
+	conditions interpreter.Conditions
+	crash      *crashReport
+	grants     map[uint64]*scheduler.Waiter
+	inFlight   map[*Execution]quarantiner.Fingerprint
+	lastGrant  uint64
+	limit      *limiter.Limiter
+	load       loadReport
+	notices    loadNotices
+	schedule   *scheduler.Scheduler
+	retrySpent map[string]time.Time
 }
 
 // New returns an executor whose upstream is gone until HandleAnnouncement is called.
@@ -207,6 +212,7 @@
 	e.announcement = a
 	if a.Instance != old.Instance {
 		e.load = loadReport{}
+		e.conditions = interpreter.Conditions{}
 	}
 	if a.Service != old.Service {
 		e.schedule.Flush(refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced"))
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -46,6 +46,7 @@
 
 // Answer is the metadata in the headers of an upstream's response.
 type Answer struct {
+	Conditions Conditions
 	// ID is the id of the request that was answered; empty if the upstream did not set it.
 	ID string
 	// Instance is the upstream's instance; empty if the upstream did not set it.
@@ -61,6 +62,11 @@
 
 // The project's own headers.
 const (
+	// HeaderLeaving is "1" in the responses of an upstream that is about to end.
+	HeaderLeaving = "Marigoldrelay-Upstream-Leaving"
+	// HeaderRateLimit is the rate of requests, in decimal requests per second, that an upstream accepts from all callers
+	// together.
+	HeaderRateLimit = "Marigoldrelay-Upstream-Rate-Limit"
 	// HeaderInstance is the upstream's instance, in requests and responses.
 	HeaderInstance = "Marigoldrelay-Instance"
 	// HeaderLoad is an upstream's load, as ParseLoad reads it: running, queued, slots and slowdown in percent.
@@ -106,9 +112,10 @@
 // ReadAnswer returns the metadata of an upstream's response.
 func (Native) ReadAnswer(header *fasthttp.ResponseHeader) Answer {
 	answer := Answer{
-		ID:       string(header.Peek(HeaderRequest)),
-		Instance: string(header.Peek(HeaderInstance)),
-		NotRun:   string(header.Peek(HeaderNotRun)) == "true",
+		Conditions: ReadConditions(header, HeaderRateLimit, HeaderLeaving),
+		ID:         string(header.Peek(HeaderRequest)),
+		Instance:   string(header.Peek(HeaderInstance)),
+		NotRun:     string(header.Peek(HeaderNotRun)) == "true",
 	}
 	answer.Load, answer.HasLoad = ParseLoad(string(header.Peek(HeaderLoad)))
 	return answer
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -101,6 +101,20 @@
 	return m.arrivalCounter(service, try).Get()
 }
 
+// ConditionNamed counts a response of the upstream that named a condition, by the kind of the response.
+func (m *Meter) ConditionNamed(condition, response string) {
+	m.conditionCounter(condition, response).Inc()
+}
+
+// ConditionCount returns the number of responses that ConditionNamed has counted.
+func (m *Meter) ConditionCount(condition, response string) uint64 {
+	return m.conditionCounter(condition, response).Get()
+}
+
+func (m *Meter) conditionCounter(condition, response string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`marigoldrelay_upstream_conditions_total{condition=%q,response=%q}`, condition, response))
+}
+
 // Refused counts a refusal that was sent to a caller.
 func (m *Meter) Refused(reason refuser.Reason) {
 	m.refusalCounter(reason).Inc()
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -4,6 +4,7 @@
 package prober
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/netip"
@@ -69,6 +70,8 @@
 	// UpstreamDiscovered is called with an upstream that was not known to be ready and has answered that it is
 	// healthy.
 	UpstreamDiscovered(a announcer.Announcement)
+	// ObserveConditions is called with the conditions in each answer.
+	ObserveConditions(named executor.NamedConditions)
 	// Report is called with the load from an answer of a ready upstream.
 	Report(load interpreter.Load)
 	// Target returns what is currently known of the upstream.
@@ -226,14 +229,19 @@
 	req.SetRequestURI(target.HealthPath)
 	req.Header.SetHost(target.Address.String())
 	p.counter.Event("probes")
+	sentAt := p.clock.Now()
 	err := pool.Do(ctx, &forwarder.Exchange{
-		Deadline: p.clock.Now().Add(probeTimeout), Request: req, Response: resp,
+		Deadline: sentAt.Add(probeTimeout), Request: req, Response: resp,
 	})
 	if err != nil {
 		p.counter.Event("probes_failed")
 		return interpreter.Answer{}, 0
 	}
-	return p.interpreter.ReadAnswer(&resp.Header), resp.StatusCode()
+	answer := p.interpreter.ReadAnswer(&resp.Header)
+	p.node.ObserveConditions(executor.NamedConditions{
+		Conditions: answer.Conditions, Instance: cmp.Or(answer.Instance, target.Instance), Kind: executor.ResponseProbe, SentAt: sentAt,
+	})
+	return answer, resp.StatusCode()
 }
 
 // poolFor returns the pool of connections to the address. It closes the pool of an earlier address.
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -25,6 +25,8 @@
 
 func (f *fakeNode) UpstreamDiscovered(announcer.Announcement) {}
 
+func (f *fakeNode) ObserveConditions(executor.NamedConditions) {}
+
 func (f *fakeNode) Report(interpreter.Load) { f.reports.Add(1) }
 
 func (f *fakeNode) Target() Target {
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -179,6 +179,12 @@
 	}
 }
 
+// conditionsChanged logs that the conditions in the upstream's responses have changed.
+func (n *Node) conditionsChanged(named executor.NamedConditions) {
+	n.events.write(false, "The conditions of the upstream changed.", "instance", named.Instance, "response", named.Kind,
+		"rate-limit", named.RateLimit.PerSecond, "invalid", named.RateLimit.Invalid, "leaving", named.Leaving)
+}
+
 // isRoutine reports whether the outcome is normal in operation: an answer, a request that was handed back, or an
 // attempt that was cancelled, such as the slower one of a hedged call.
 func isRoutine(outcome *carrier.Outcome) bool {
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -145,8 +145,7 @@
 	n.quarantiner = quarantiner.New(n.clock, n.requestQuarantined)
 	n.recorder = recorder.New(n.clock)
 	n.claimTable = claimer.NewTable(n.clock)
-	n.upstream = newLocalUpstream(n.clock, n.interpreter, func(load interpreter.Load) { n.executor.UpdateLoad(load) },
-		forwarder.WithMaxBody(settings.MaxBodyBytes), forwarder.AcceptNoLength())
+	n.upstream = newLocalUpstream(n.clock, n.interpreter, forwarder.WithMaxBody(settings.MaxBodyBytes), forwarder.AcceptNoLength())
 	n.router = router.New(n.clock, newRandom(), n.policy, settings.Region, settings.DataCentre)
 	if err := n.buildRegister(); err != nil {
 		return nil, err
@@ -224,6 +223,7 @@
 		LoadProber:     n.prober,
 		Meter:          n.meter,
 		Name:           n.settings.Name,
+		OnConditions:   n.conditionsChanged,
 		OnUpstreamDown: func(instance string) { n.registrar.MarkDown(instance) },
 		Quarantiner:    n.quarantiner,
 		Recorder:       n.recorder,
@@ -238,6 +238,7 @@
 		},
 		Upstream: n.upstream,
 	})
+	n.upstream.observer = n.executor
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Caller:          n.service,
 		Claims:          claimer.New(n.clock, peers, n),
--- a/internal/relayer/probernode.go
+++ b/internal/relayer/probernode.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/prober"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
@@ -17,6 +18,11 @@
 	p.node.registrar.AddDiscovered(a)
 }
 
+// ObserveConditions passes to the executor the conditions in an answer of the upstream.
+func (p proberNode) ObserveConditions(named executor.NamedConditions) {
+	p.node.executor.ObserveConditions(named)
+}
+
 // Report passes to the executor the load that the upstream itself reports.
 func (p proberNode) Report(load interpreter.Load) {
 	p.node.executor.UpdateLoad(load)
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -28,7 +28,7 @@
 type localUpstream struct {
 	clock       timekeeper.Clock
 	interpreter Interpreter
-	onLoad      func(load interpreter.Load)
+	observer    upstreamObserver
 	options     []forwarder.Option
 
 	mu       sync.Mutex
@@ -37,8 +37,16 @@
 	pool     *forwarder.Pool
 }
 
-func newLocalUpstream(clock timekeeper.Clock, i Interpreter, onLoad func(interpreter.Load), options ...forwarder.Option) *localUpstream {
-	return &localUpstream{clock: clock, interpreter: i, onLoad: onLoad, options: options}
+// upstreamObserver learns from the upstream's answers.
+type upstreamObserver interface {
+	ObserveConditions(named executor.NamedConditions)
+	UpdateLoad(load interpreter.Load)
+}
+
+// newLocalUpstream returns an upstream whose address is not known. Its field observer is to be set before the first
+// request.
+func newLocalUpstream(clock timekeeper.Clock, i Interpreter, options ...forwarder.Option) *localUpstream {
+	return &localUpstream{clock: clock, interpreter: i, options: options}
 }
 
 // reconnect replaces the connection pool if the upstream has announced a new address or instance. An invalid address
@@ -75,7 +83,8 @@
 
 // Do implements executor.Upstream.
 func (u *localUpstream) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	pool, _, _ := u.current()
+	pool, _, instance := u.current()
+	sentAt := u.clock.Now()
 	if pool == nil {
 		return forwarder.ErrNotSent
 	}
@@ -93,21 +102,26 @@
 	if err := pool.Do(ctx, x); err != nil {
 		return err
 	}
-	return u.checkAnswer(resp)
+	return u.checkAnswer(resp, instance, sentAt)
 }
 
-// checkAnswer reads what the upstream reports in the headers of its answer and removes the headers that concern only
-// its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
+// checkAnswer reads what the instance reports in the headers of its answer to a request that was sent at the given
+// time, and removes the headers that concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
 // the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
-func (u *localUpstream) checkAnswer(resp *fasthttp.Response) error {
+func (u *localUpstream) checkAnswer(resp *fasthttp.Response, instance string, sentAt time.Time) error {
 	answer := u.interpreter.ReadAnswer(&resp.Header)
 	if answer.HasLoad {
-		u.onLoad(answer.Load)
+		u.observer.UpdateLoad(answer.Load)
 	}
-	status := resp.StatusCode()
-	switch {
-	case answer.NotRun && status == fasthttp.StatusMisdirectedRequest:
+	if answer.NotRun && resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return executor.ErrMisdirected
+	}
+	named := executor.NamedConditions{Conditions: answer.Conditions, Instance: instance, Kind: executor.ResponseAnswer, SentAt: sentAt}
+	if answer.NotRun {
+		named.Kind = executor.ResponseNotRun
+	}
+	u.observer.ObserveConditions(named)
+	switch {
 	case answer.NotRun:
 		return executor.ErrShed
 	case answer.Unsealed:
