Show that an upstream's rate limit is not kept: TestRateLimitOfUpstreamIsKept

It checks every window of 4 s that ends 3 s after the first naming or later, with all requests of the entries that had delivered such an answer half a second before, also those of the time before the naming.

--- /dev/null
+++ b/internal/relayer/conditions_test.go
@@ -0,0 +1,255 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
+	"github.com/marigoldrelay/marigoldrelay/internal/validator"
+)
+
+// The bound on the requests of an upstream that has named a rate limit: in any limitWindow that ends at least
+// limitSettleTime after the first naming, at most limitExcess times what the limit allows, and limitSlack more. It counts
+// the requests that began at entry nodes that had delivered an answer with the limit deliveryDelay before the window's end.
+const (
+	limitWindow     = 4 * time.Second
+	limitSettleTime = 3 * time.Second
+	limitExcess     = 1.5
+	limitSlack      = 5
+	deliveryDelay   = 500 * time.Millisecond
+)
+
+// conditionScenario describes a load on the nodes of scenarioNodes while some upstreams name conditions.
+type conditionScenario struct {
+	Seed   uint64             `json:"seed"`
+	Length validator.Duration `json:"length"`
+	Kinds  []struct {
+		requestKind
+		// MinServed is the fraction of the requests that must be answered.
+		MinServed float64 `json:"min-served"`
+	} `json:"kinds"`
+	Limits []namedLimit `json:"limits"`
+}
+
+// namedLimit is a rate limit that the upstream beside Node names in its answers for a time. Value is its text in the
+// header.
+type namedLimit struct {
+	Node  string             `json:"node"`
+	From  validator.Duration `json:"from"`
+	To    validator.Duration `json:"to"`
+	Value string             `json:"value"`
+}
+
+// upstreamArrival is a request that an upstream has received.
+type upstreamArrival struct {
+	at    time.Duration
+	entry string
+}
+
+// delivery identifies the answers of one upstream that one entry node has delivered.
+type delivery struct {
+	entry    string
+	instance string
+}
+
+// conditionRun runs a scenario and records what upstreams have received and what entry nodes have delivered. All times
+// are since its start.
+type conditionRun struct {
+	*virtualDeployment
+	scenario conditionScenario
+	random   *lockedRand
+	started  time.Time
+
+	mu       sync.Mutex
+	arrivals map[string][]upstreamArrival
+	// limitDelivered is when an entry node first delivered an answer with a rate limit.
+	limitDelivered map[delivery]time.Duration
+	sent, served   map[string]int
+}
+
+// headerTestInstance names the instance that has answered.
+const headerTestInstance = "Test-Instance"
+
+func runConditions(t *testing.T, name string) *conditionRun {
+	t.Helper()
+	r := &conditionRun{
+		arrivals: make(map[string][]upstreamArrival), limitDelivered: make(map[delivery]time.Duration),
+		sent: make(map[string]int), served: make(map[string]int),
+	}
+	readScenario(t, "testdata/rate-limits/"+name+".json", &r.scenario)
+	synctest.Test(t, func(t *testing.T) {
+		r.virtualDeployment = newVirtualDeployment(t)
+		r.random = &lockedRand{random: rand.New(rand.NewPCG(r.scenario.Seed, 0))}
+		r.upstream = r.serve
+		for _, node := range slices.Sorted(maps.Keys(scenarioNodes)) {
+			r.add(node, scenarioNodes[node])
+		}
+		r.makeKnown(r.names, r.names)
+		r.started = time.Now()
+		r.play(t)
+	})
+	return r
+}
+
+// play sends the requests of every kind and waits for the answers.
+func (r *conditionRun) play(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	for _, name := range r.names {
+		go func() {
+			for ctx.Err() == nil {
+				r.member(name).executor.Sweep()
+				time.Sleep(executor.SweepInterval)
+			}
+		}()
+	}
+	var load sync.WaitGroup
+	for _, kind := range r.scenario.Kinds {
+		load.Go(func() {
+			for i := 0; time.Since(r.started) < r.scenario.Length.Std(); i++ {
+				time.Sleep(r.random.exponential(time.Duration(float64(time.Second) / kind.Rate)))
+				entry := r.names[i%len(r.names)]
+				load.Go(func() { r.send(entry, kind.requestKind, fmt.Sprintf("%s-%s-%d", entry, kind.Name, i)) })
+			}
+		})
+	}
+	load.Wait()
+	stop()
+	// Work that nodes do after an answer, such as ending a lost hedge, is over by then.
+	time.Sleep(5 * time.Second)
+}
+
+func (r *conditionRun) send(entry string, kind requestKind, id string) {
+	resp := r.member(entry).requestAnswer(context.Background(), id, kind.Name, kind.Idempotent, kind.Limit.Std())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[kind.Name]++
+	if resp.StatusCode() == fasthttp.StatusOK {
+		r.served[kind.Name]++
+	}
+	if len(resp.Header.Peek(interpreter.HeaderRateLimit)) == 0 {
+		return
+	}
+	key := delivery{entry: entry, instance: string(resp.Header.Peek(headerTestInstance))}
+	if _, ok := r.limitDelivered[key]; !ok {
+		r.limitDelivered[key] = time.Since(r.started)
+	}
+}
+
+// serve acts as the upstream beside each node.
+func (r *conditionRun) serve(ctx context.Context, at *virtualNode, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	id := string(req.Header.Peek(headerTestRequest))
+	entry, rest, _ := strings.Cut(id, "-")
+	r.mu.Lock()
+	r.arrivals[at.instance()] = append(r.arrivals[at.instance()], upstreamArrival{at: time.Since(r.started), entry: entry})
+	r.mu.Unlock()
+	for _, kind := range r.scenario.Kinds {
+		if !strings.HasPrefix(rest, kind.Name) {
+			continue
+		}
+		if err := simulateWork(ctx, r.random.exponential(kind.Work.Std()), deadline); err != nil {
+			return err
+		}
+	}
+	resp.SetStatusCode(fasthttp.StatusOK)
+	resp.Header.Set(headerTestInstance, at.instance())
+	for _, limit := range r.scenario.Limits {
+		if limit.Node == at.name && limit.isNamedAt(time.Since(r.started)) {
+			resp.Header.Add(interpreter.HeaderRateLimit, limit.Value)
+		}
+	}
+	return nil
+}
+
+func (l *namedLimit) isNamedAt(at time.Duration) bool {
+	return l.From.Std() <= at && at < l.To.Std()
+}
+
+// checkLimits fails the test if an upstream got more requests in some window than its rate limit allows.
+func (r *conditionRun) checkLimits(t *testing.T) {
+	t.Helper()
+	for instance, arrivals := range r.arrivals {
+		worst, at, counted := 0.0, time.Duration(0), 0
+		for _, last := range arrivals {
+			allowed, ok := r.allowedAt(instance, last.at)
+			if !ok {
+				continue
+			}
+			count := r.countWindow(instance, last.at)
+			if used := float64(count) / allowed; used > worst {
+				worst, at, counted = used, last.at, count
+			}
+		}
+		t.Logf("%s: at most %.2f of what its limit allows: %d requests in %v until %v", instance, worst, counted, limitWindow, at)
+		if worst > 1 {
+			t.Errorf("%s got %d requests in %v until %v, %.2f times what its rate limit allows", instance, counted, limitWindow, at, worst)
+		}
+	}
+}
+
+// allowedAt returns how many requests the instance can get in the window that ends at the given time. It reports false
+// where no limit has settled. For a limit that has changed, the higher value holds until the new one has settled.
+func (r *conditionRun) allowedAt(instance string, at time.Duration) (float64, bool) {
+	highest := 0.0
+	node, _, _ := strings.Cut(instance, ".")
+	for _, limit := range r.scenario.Limits {
+		value, err := strconv.ParseFloat(limit.Value, 64)
+		if err != nil || limit.Node != node {
+			continue
+		}
+		if first := limit.From.Std(); first+limitSettleTime <= at && at < limit.To.Std()+limitSettleTime {
+			highest = max(highest, value)
+		}
+	}
+	return limitExcess*highest*limitWindow.Seconds() + limitSlack, highest > 0 && r.isNamed(node, at)
+}
+
+func (r *conditionRun) isNamed(node string, at time.Duration) bool {
+	return slices.ContainsFunc(r.scenario.Limits, func(l namedLimit) bool { return l.Node == node && l.isNamedAt(at) })
+}
+
+// countWindow returns the number of requests in the window that ends at the given time, from entry nodes that had
+// delivered an answer with a limit by then.
+func (r *conditionRun) countWindow(instance string, end time.Duration) int {
+	count := 0
+	for _, a := range r.arrivals[instance] {
+		told, ok := r.limitDelivered[delivery{entry: a.entry, instance: instance}]
+		if ok && told+deliveryDelay <= end && end-limitWindow < a.at && a.at <= end {
+			count++
+		}
+	}
+	return count
+}
+
+// checkServed fails the test if too few requests of a kind were answered.
+func (r *conditionRun) checkServed(t *testing.T) {
+	t.Helper()
+	for _, kind := range r.scenario.Kinds {
+		served := float64(r.served[kind.Name]) / float64(r.sent[kind.Name])
+		t.Logf("%s: %d sent, %.4f served", kind.Name, r.sent[kind.Name], served)
+		if served < kind.MinServed {
+			t.Errorf("%s: %.4f served, want at least %.4f", kind.Name, served, kind.MinServed)
+		}
+	}
+}
+
+// TestRateLimitOfUpstreamIsKept guards against the incident LIMIT: an upstream that had named a rate limit in its answers
+// got requests as before.
+func TestRateLimitOfUpstreamIsKept(t *testing.T) {
+	skipper.KnownRed(t)
+	r := runConditions(t, "two-limited")
+	r.checkLimits(t)
+	r.checkServed(t)
+}
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -229,7 +229,11 @@
 
 // Do implements executor.Upstream.
 func (v *virtualNode) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	return v.deployment.upstream(ctx, v, req, resp, deadline)
+	sentAt := time.Now()
+	if err := v.deployment.upstream(ctx, v, req, resp, deadline); err != nil {
+		return err
+	}
+	return v.upstream.checkAnswer(resp, v.instance(), sentAt)
 }
 
 // ProbeLoad implements executor.LoadProber.
@@ -245,6 +249,11 @@
 
 // request sends a request through the node and returns the status of its answer.
 func (v *virtualNode) request(ctx context.Context, id, kind string, idempotent bool, limit time.Duration) int {
+	return v.requestAnswer(ctx, id, kind, idempotent, limit).StatusCode()
+}
+
+// requestAnswer sends a request through the node and returns its answer.
+func (v *virtualNode) requestAnswer(ctx context.Context, id, kind string, idempotent bool, limit time.Duration) *fasthttp.Response {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	req.SetRequestURI("/" + kind + "/" + id)
 	req.Header.SetHost("test")
@@ -256,9 +265,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if refusal := v.dispatcher.Dispatch(ctx, req, resp); refusal != nil {
-		return refusal.Status()
+		refusal.Write(resp)
 	}
-	return resp.StatusCode()
+	return resp
 }
 
 // simulateWork waits for the run time unless the deadline or the caller ends the run earlier.
