Tell a restarted node the rate limit of the upstream beside it

Cause: only the node beside the instance knew the limit, in its memory.

Change: outcomes carry the condition of the upstream to the entry (conditionkeeper), and attempts carry it back to the node beside that upstream. A node that has had no answer of the instance adopts it before it sends the attempt. Instances are told apart by id and start. Nothing is sent where no upstream names a condition.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -23,6 +23,7 @@
 	HeaderPrefix    = "Marigoldrelay-"
 	headerArrived   = "Marigoldrelay-Arrived"
 	headerAttempt   = "Marigoldrelay-Attempt"
+	headerCondition = "Marigoldrelay-Condition"
 	headerEcho      = "Marigoldrelay-Echo"
 	headerLoad      = "Marigoldrelay-Load"
 	headerRefusal   = "Marigoldrelay-Refusal"
@@ -56,6 +57,8 @@
 	Call string `cbor:"2,keyasint,omitempty"`
 	// RootCall is the id of the outermost call that this one is nested in, or empty.
 	RootCall string `cbor:"3,keyasint,omitempty"`
+	// Conditions are those that upstreams have named in answers which the entry node has passed on.
+	Conditions []UpstreamCondition `cbor:"22,keyasint,omitempty"`
 	// Depth is the number of calls that this one is nested in.
 	Depth int `cbor:"4,keyasint,omitempty"`
 	// Grant identifies the slot that the receiver has reserved for the attempt; zero for none.
@@ -211,6 +214,7 @@
 	if outcome.RetrySpent {
 		resp.Header.Set(headerSpent, "1")
 	}
+	writeCondition(resp, outcome.Condition)
 	resp.Header.Set(headerEcho, a.echoValue())
 	resp.Header.Set(headerUsed, strconv.FormatInt(int64(outcome.UpstreamTime), 10))
 	load := outcome.Load
@@ -221,7 +225,9 @@
 type Outcome struct {
 	// Arrived is true if the upstream received the request or may have, even if it has not run it.
 	Arrived bool
-	Load    Load
+	// Condition is that of the upstream beside the node that had the attempt last; nil if it asks for nothing.
+	Condition *UpstreamCondition
+	Load      Load
 	// Lost is true if the outcome of an idempotent attempt did not arrive.
 	Lost bool
 	// Refusal is nil if the upstream has responded.
@@ -254,7 +260,7 @@
 	if string(resp.Header.Peek(headerEcho)) != a.echoValue() {
 		return Outcome{}, false
 	}
-	outcome := Outcome{Load: parseLoad(string(resp.Header.Peek(headerLoad)))}
+	outcome := Outcome{Condition: readCondition(resp), Load: parseLoad(string(resp.Header.Peek(headerLoad)))}
 	used, _ := strconv.ParseInt(string(resp.Header.Peek(headerUsed)), 10, 64)
 	outcome.UpstreamTime = time.Duration(used)
 	outcome.Arrived = len(resp.Header.Peek(headerArrived)) > 0
@@ -267,7 +273,7 @@
 		typed := refuser.Refusal(wire)
 		outcome.Refusal = &typed
 	}
-	for _, name := range []string{headerArrived, headerEcho, headerLoad, headerUsed, headerSpent, headerRefusal} {
+	for _, name := range []string{headerArrived, headerCondition, headerEcho, headerLoad, headerUsed, headerSpent, headerRefusal} {
 		resp.Header.Del(name)
 	}
 	return outcome, true
--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -274,11 +274,15 @@
 	}
 }
 
-// sendAttempt sends the attempt to the target and records the outcome for later picks.
+// sendAttempt sends the attempt to the target and records the outcome for later picks and attempts.
 func (d *Dispatcher) sendAttempt(ctx context.Context, call *Call, target gossiper.Member, attempt carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	resp.Reset()
 	d.Targets.RecordCallStart(target.Name)
+	attempt.Conditions = d.Conditions.For(target.Name)
 	outcome := d.Sender.Send(ctx, target, attempt, req, resp, call.Deadline)
+	if outcome.Condition != nil {
+		d.Conditions.Record(*outcome.Condition)
+	}
 	d.Targets.RecordCallEnd(target.Name, outcome.Load, isTargetFailure(&outcome, resp))
 	return outcome
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -70,6 +70,14 @@
 	FindRunning(call, request string) (carrier.Attempt, bool)
 }
 
+// Conditions remembers what upstreams have asked for in the answers that this node has passed on.
+type Conditions interface {
+	// For returns the conditions to send with an attempt to the node.
+	For(node string) []carrier.UpstreamCondition
+	// Record remembers the condition of an outcome.
+	Record(condition carrier.UpstreamCondition)
+}
+
 // Claims ensures that a request with an idempotency key runs once, whichever entry node receives it.
 type Claims interface {
 	// Run calls run unless the key was claimed before. In that case it writes the first response to resp.
@@ -115,9 +123,10 @@
 // Config holds the dependencies of a Dispatcher.
 type Config struct {
 	// Caller returns the service on this VM.
-	Caller func() string
-	Claims Claims
-	Clock  timekeeper.Clock
+	Caller     func() string
+	Claims     Claims
+	Clock      timekeeper.Clock
+	Conditions Conditions
 	// OnNestedFailure is called with the id of the parent of each nested call that has finally failed.
 	OnNestedFailure func(call string)
 	// OnFinished, if not nil, is called with each call that has ended and its outcome.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/conditionkeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/meter"
@@ -120,7 +121,8 @@
 			parent.next = l
 		}
 		l.Dispatcher = New(Config{
-			Clock: timekeeper.System{},
+			Clock:      timekeeper.System{},
+			Conditions: conditionkeeper.New(timekeeper.System{}),
 			OnNestedFailure: func(call string) {
 				parent.mu.Lock()
 				defer parent.mu.Unlock()
--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -1,8 +1,10 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/pacer"
 )
@@ -36,6 +38,8 @@
 
 // upstreamConditions is what one process of the upstream has named so far.
 type upstreamConditions struct {
+	// heard is true if this node has had a response of it to a request.
+	heard bool
 	// last are the conditions in its last response.
 	last interpreter.Conditions
 	// limitedSince is when it named the rate limit that is in force; zero if there is none.
@@ -63,6 +67,8 @@
 	now := e.Clock.Now()
 	if named.Kind == ResponseProbe {
 		e.schedule.CountSent(now)
+	} else {
+		e.conditions.heard = true
 	}
 	e.updateRateLimit(now, named)
 	changed = named.Conditions != e.conditions.last
@@ -93,6 +99,50 @@
 	e.notifyPeers()
 }
 
+// adoptConditions applies what an entry node has been told by the process of the upstream, if this node has been started
+// since and had no response of it yet.
+func (e *Executor) adoptConditions(told []carrier.UpstreamCondition) {
+	for i := range told {
+		if e.adoptCondition(&told[i]) {
+			e.Meter.Event("conditions_adopted")
+		}
+	}
+}
+
+func (e *Executor) adoptCondition(told *carrier.UpstreamCondition) (adopted bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !told.IsOf(e.announcement.Instance, e.announcement.Born) || e.conditions.heard || !e.conditions.limitedSince.IsZero() {
+		return false
+	}
+	limit := interpreter.NewRateLimit(told.RateLimit)
+	if limit.PerSecond == 0 {
+		return false
+	}
+	now := e.Clock.Now()
+	e.updateRateLimit(now, &NamedConditions{
+		Conditions: interpreter.Conditions{RateLimit: limit}, Instance: told.Instance, Kind: ResponseAnswer, SentAt: now,
+	})
+	return true
+}
+
+// conditionFor returns the upstream's condition for the outcome of an attempt. It returns nil if the upstream asks for
+// nothing, unless the attempt tells otherwise.
+func (e *Executor) conditionFor(a *carrier.Attempt) *carrier.UpstreamCondition {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	condition := &carrier.UpstreamCondition{
+		Node: e.Name, Instance: e.announcement.Instance, Born: e.announcement.Born, RateLimit: e.schedule.RateLimit(),
+	}
+	isOutdated := e.conditions.heard && slices.ContainsFunc(a.Conditions, func(told carrier.UpstreamCondition) bool {
+		return told.IsOf(condition.Instance, condition.Born) && !told.IsNone()
+	})
+	if condition.IsNone() && !isOutdated {
+		return nil
+	}
+	return condition
+}
+
 // endsRateLimit reports whether a response without a rate limit shows that the one in force has ended: it answers a
 // request that was sent after the limit was named, and is of a kind that would name it. It is called with mu held.
 func (e *Executor) endsRateLimit(named *NamedConditions) bool {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -340,8 +340,10 @@
 func (e *Executor) Execute(ctx context.Context, x *Execution) carrier.Outcome {
 	started := e.Clock.Now()
 	x.requestArrived = started.Add(-x.Attempt.Age)
+	e.adoptConditions(x.Attempt.Conditions)
 	if refusal := e.precheck(x); refusal != nil {
 		outcome := e.refusedOutcome(refusal)
+		outcome.Condition = e.conditionFor(&x.Attempt)
 		e.notifyAttemptEnd(x, &outcome, started)
 		return outcome
 	}
@@ -352,6 +354,10 @@
 	}
 	e.recordPeer(x)
 	outcome := e.admit(ctx, x)
+	if outcome.Condition == nil {
+		// An outcome from another node can have the condition of that node's upstream.
+		outcome.Condition = e.conditionFor(&x.Attempt)
+	}
 	e.mu.Lock()
 	outcome.Load = e.currentLoad()
 	if _, ok := e.retrySpent[x.Attempt.Call]; ok {
--- a/internal/interpreter/conditions.go
+++ b/internal/interpreter/conditions.go
@@ -43,7 +43,16 @@
 		return RateLimit{}
 	}
 	perSecond, err := strconv.ParseFloat(string(values[0]), 64)
-	if len(values) > 1 || err != nil || !(perSecond > 0 && perSecond <= maxRequestsPerSecond) {
+	if len(values) > 1 || err != nil {
+		return RateLimit{Invalid: true}
+	}
+	return NewRateLimit(perSecond)
+}
+
+// NewRateLimit returns a limit of requests per second. It is invalid if the number is not above zero and at most
+// maxRequestsPerSecond.
+func NewRateLimit(perSecond float64) RateLimit {
+	if !(perSecond > 0 && perSecond <= maxRequestsPerSecond) {
 		return RateLimit{Invalid: true}
 	}
 	return RateLimit{PerSecond: perSecond}
--- a/internal/relayer/conditions_test.go
+++ b/internal/relayer/conditions_test.go
@@ -41,6 +41,11 @@
 		MinServed float64 `json:"min-served"`
 	} `json:"kinds"`
 	Limits []namedLimit `json:"limits"`
+	// Restarts are restarts of nodes. The upstreams beside them go on.
+	Restarts []struct {
+		Node string             `json:"node"`
+		At   validator.Duration `json:"at"`
+	} `json:"restarts"`
 }
 
 // namedLimit is a rate limit that the upstream beside Node names in its answers for a time. Value is its text in the
@@ -92,7 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r.virtualDeployment = newVirtualDeployment(t)
 		r.random = &lockedRand{random: rand.New(rand.NewPCG(r.scenario.Seed, 0))}
-		r.upstream = r.serve
+		r.upstream, r.instancesSurvive = r.serve, true
 		for _, node := range slices.Sorted(maps.Keys(scenarioNodes)) {
 			r.add(node, scenarioNodes[node])
 		}
@@ -115,6 +120,12 @@
 		}()
 	}
 	var load sync.WaitGroup
+	for _, restart := range r.scenario.Restarts {
+		load.Go(func() {
+			time.Sleep(restart.At.Std())
+			r.restart(restart.Node)
+		})
+	}
 	for _, kind := range r.scenario.Kinds {
 		load.Go(func() {
 			for i := 0; time.Since(r.started) < r.scenario.Length.Std(); i++ {
@@ -130,6 +141,16 @@
 	time.Sleep(5 * time.Second)
 }
 
+// restart restarts a node and makes it known. What it has delivered before does not bind it.
+func (r *conditionRun) restart(node string) {
+	r.add(node, scenarioNodes[node])
+	r.makeKnown([]string{node}, r.names)
+	r.makeKnown(r.names, []string{node})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.limitDelivered, func(d delivery, _ time.Duration) bool { return d.entry == node })
+}
+
 func (r *conditionRun) send(entry string, kind requestKind, id string) {
 	resp := r.member(entry).requestAnswer(context.Background(), id, kind.Name, kind.Idempotent, kind.Limit.Std())
 	r.mu.Lock()
@@ -152,7 +173,7 @@
 	id := string(req.Header.Peek(headerTestRequest))
 	entry, rest, _ := strings.Cut(id, "-")
 	r.mu.Lock()
-	r.arrivals[at.instance()] = append(r.arrivals[at.instance()], upstreamArrival{at: time.Since(r.started), entry: entry})
+	r.arrivals[at.instance] = append(r.arrivals[at.instance], upstreamArrival{at: time.Since(r.started), entry: entry})
 	r.mu.Unlock()
 	for _, kind := range r.scenario.Kinds {
 		if !strings.HasPrefix(rest, kind.Name) {
@@ -163,7 +184,7 @@
 		}
 	}
 	resp.SetStatusCode(fasthttp.StatusOK)
-	resp.Header.Set(headerTestInstance, at.instance())
+	resp.Header.Set(headerTestInstance, at.instance)
 	for _, limit := range r.scenario.Limits {
 		if limit.Node == at.name && limit.isNamedAt(time.Since(r.started)) {
 			resp.Header.Add(interpreter.HeaderRateLimit, limit.Value)
@@ -252,3 +273,11 @@
 	r.checkLimits(t)
 	r.checkServed(t)
 }
+
+// TestRateLimitIsKeptByRestartedNode guards against a node that starts again beside an upstream with a rate limit and
+// sends to it as if it had none, although callers' nodes have delivered answers with the limit.
+func TestRateLimitIsKeptByRestartedNode(t *testing.T) {
+	r := runConditions(t, "node-restarts")
+	r.checkLimits(t)
+	r.checkServed(t)
+}
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/claimer"
+	"github.com/marigoldrelay/marigoldrelay/internal/conditionkeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/dispatcher"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/formserver"
@@ -244,6 +245,7 @@
 		Caller:          n.service,
 		Claims:          claimer.New(n.clock, peers, n),
 		Clock:           n.clock,
+		Conditions:      conditionkeeper.New(n.clock),
 		OnNestedFailure: n.executor.RecordNestedFailure,
 		OnFinished:      n.callFinished,
 		OnHedge:         n.callHedged,
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -80,6 +80,8 @@
 	upstream func(ctx context.Context, at *virtualNode, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
 	// load, if not nil, is the load that the upstream of a node reports when it is probed.
 	load func(at *virtualNode) interpreter.Load
+	// instancesSurvive is true if the upstream beside a node goes on when the node is restarted.
+	instancesSurvive bool
 }
 
 // virtualNode is one node of a virtual deployment with the upstream beside it.
@@ -89,6 +91,8 @@
 	name       string
 	serves     string
 	startCount uint64
+	// instance is the instance of the upstream.
+	instance string
 }
 
 func newVirtualDeployment(t *testing.T) *virtualDeployment {
@@ -123,10 +127,14 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	v := &virtualNode{Node: node, deployment: d, name: name, serves: service, startCount: 1}
+	v := &virtualNode{Node: node, deployment: d, name: name, serves: service, startCount: 1, instance: name + ".1"}
 	d.mu.Lock()
 	if old, ok := d.members[name]; ok {
 		v.startCount = old.startCount + 1
+		v.instance = old.instance
+		if !d.instancesSurvive {
+			v.instance = fmt.Sprintf("%s.%d", name, v.startCount)
+		}
 	} else {
 		d.names = append(d.names, name)
 	}
@@ -137,7 +145,7 @@
 	node.executor.Siblings = v
 	node.SetInitialDocument(d.document)
 	node.upstreamAnnounced(announcer.Announcement{
-		Address: "127.0.0.1:1", Instance: v.instance(), Service: service, Slots: virtualSlots, State: announcer.StateReady,
+		Address: "127.0.0.1:1", Instance: v.instance, Service: service, Slots: virtualSlots, State: announcer.StateReady,
 	})
 	node.router.Update(v.record())
 	return v
@@ -158,10 +166,6 @@
 	return d.members[name]
 }
 
-func (v *virtualNode) instance() string {
-	return fmt.Sprintf("%s.%d", v.name, v.startCount)
-}
-
 func (v *virtualNode) record() gossiper.Member {
 	return gossiper.Member{
 		Name: v.name, DataCentre: "here", Region: "here", Incarnation: v.startCount, Service: v.serves,
@@ -233,7 +237,7 @@
 	if err := v.deployment.upstream(ctx, v, req, resp, deadline); err != nil {
 		return err
 	}
-	return v.upstream.checkAnswer(resp, v.instance(), sentAt)
+	return v.upstream.checkAnswer(resp, v.instance, sentAt)
 }
 
 // ProbeLoad implements executor.LoadProber.
