Send nothing to an upstream that names itself leaving in its answers

What callers would have seen: requests to an instance that leaves, and is gone before it has served them.

Cause: only announcements told that an upstream leaves.

Change: the node beside the instance refuses new attempts, queued ones, grants and reservations from the first such answer on, and the registrar keeps the process draining whatever it announces or a probe finds. Entries remember the leaving upstreams of answers that they have passed on and send them with each attempt of the service, also for the nodes it may be handed off to; a node that was restarted beside one adopts that before it sends. It ends with the process, told apart by id and start. Reservations are now declined by every node whose upstream is not ready.

TestLeavingProcessStaysDraining, TestLeavingUpstreamsOfServiceAreTold.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -57,7 +57,7 @@
 	Call string `cbor:"2,keyasint,omitempty"`
 	// RootCall is the id of the outermost call that this one is nested in, or empty.
 	RootCall string `cbor:"3,keyasint,omitempty"`
-	// Conditions are those that upstreams have named in answers which the entry node has passed on.
+	// Conditions are those that upstreams of the service have named in answers which the entry node has passed on.
 	Conditions []UpstreamCondition `cbor:"22,keyasint,omitempty"`
 	// Depth is the number of calls that this one is nested in.
 	Depth int `cbor:"4,keyasint,omitempty"`
--- a/internal/carrier/condition.go
+++ b/internal/carrier/condition.go
@@ -9,18 +9,20 @@
 // UpstreamCondition is what one process of an upstream asks of its callers, as its node has last heard it. Entry nodes
 // remember it and send it with their attempts, since a node that has been restarted beside the upstream knows nothing.
 type UpstreamCondition struct {
-	// Node is the node beside the upstream.
+	// Node is the node beside the upstream; empty in attempts.
 	Node string `cbor:"1,keyasint,omitempty" json:"node"`
 	// Instance and Born identify the process. Born is in milliseconds since the Unix epoch; zero if it is not known.
 	Instance string `cbor:"2,keyasint,omitempty" json:"instance"`
 	Born     int64  `cbor:"3,keyasint,omitempty" json:"born,omitempty"`
 	// RateLimit is in requests per second; zero if there is none.
 	RateLimit float64 `cbor:"4,keyasint,omitempty" json:"rate-limit,omitempty"`
+	// Leaving is true if the process is about to end and must not get new requests.
+	Leaving bool `cbor:"5,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
 // IsNone reports whether the process asks for nothing.
 func (c *UpstreamCondition) IsNone() bool {
-	return c.RateLimit == 0
+	return c.RateLimit == 0 && !c.Leaving
 }
 
 // IsOf reports whether the condition is that of the process, as far as is known.
--- a/internal/carrier/condition_test.go
+++ b/internal/carrier/condition_test.go
@@ -9,7 +9,7 @@
 // TestConditionTravelsWithOutcome covers the header that carries an upstream's condition to the entry node.
 func TestConditionTravelsWithOutcome(t *testing.T) {
 	attempt := &Attempt{Sender: "n1.1", Sequence: 7}
-	want := UpstreamCondition{Node: "n2", Instance: "i-1", Born: 1_700_000_000_000, RateLimit: 7.4}
+	want := UpstreamCondition{Node: "n2", Instance: "i-1", Born: 1_700_000_000_000, RateLimit: 7.4, Leaving: true}
 	resp := &fasthttp.Response{}
 	WriteOutcome(attempt, resp, Outcome{Condition: &want})
 	outcome, ok := readOutcome(attempt, resp)
--- a/internal/conditionkeeper/conditionkeeper.go
+++ b/internal/conditionkeeper/conditionkeeper.go
@@ -3,6 +3,7 @@
 package conditionkeeper
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,11 @@
 const (
 	// conditionTTL is how long a condition is remembered that has not been told again.
 	conditionTTL = 10 * time.Minute
+	// leavingTTL is how long attempts to other nodes tell that an upstream of their service leaves. Such an upstream soon
+	// ends.
+	leavingTTL = 30 * time.Second
+	// maxLeaving limits the leaving upstreams that an attempt to another node tells of.
+	maxLeaving = 8
 	// maxConditions limits the remembered conditions, of which there is one for each node.
 	maxConditions = 1024
 )
@@ -27,7 +33,8 @@
 
 type keptCondition struct {
 	carrier.UpstreamCondition
-	toldAt time.Time
+	service string
+	toldAt  time.Time
 }
 
 // New returns an empty keeper.
@@ -35,9 +42,9 @@
 	return &Keeper{clock: clock, conditions: make(map[string]keptCondition)}
 }
 
-// Record remembers a condition that an upstream's node has told. A condition that asks for nothing ends the remembered one
+// Record remembers a condition that the node beside an upstream of the service has told. A condition that asks for nothing ends the remembered one
 // of the same process. Conditions of a process that was born before the remembered one are ignored.
-func (k *Keeper) Record(condition carrier.UpstreamCondition) {
+func (k *Keeper) Record(service string, condition carrier.UpstreamCondition) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	kept, ok := k.conditions[condition.Node]
@@ -52,7 +59,7 @@
 	if !ok {
 		k.makeRoom(now)
 	}
-	k.conditions[condition.Node] = keptCondition{UpstreamCondition: condition, toldAt: now}
+	k.conditions[condition.Node] = keptCondition{UpstreamCondition: condition, service: service, toldAt: now}
 }
 
 // makeRoom drops the expired conditions and, if there are too many, the oldest one. It is called with mu held.
@@ -73,13 +80,45 @@
 	}
 }
 
-// For returns the conditions to send with an attempt to the node: that of the upstream beside it, if one is remembered.
-func (k *Keeper) For(node string) []carrier.UpstreamCondition {
+// For returns the conditions to send with an attempt of the service to the node: that of the upstream beside it, and the
+// leaving upstreams of the service, since the node can hand the attempt off to a node beside one of these.
+func (k *Keeper) For(service, node string) []carrier.UpstreamCondition {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	kept, ok := k.conditions[node]
-	if !ok || k.clock.Now().Sub(kept.toldAt) > conditionTTL {
+	if len(k.conditions) == 0 {
 		return nil
 	}
-	return []carrier.UpstreamCondition{kept.UpstreamCondition}
+	now := k.clock.Now()
+	var told []keptCondition
+	for name, kept := range k.conditions {
+		age := now.Sub(kept.toldAt)
+		isOwn := name == node && age <= conditionTTL
+		if isOwn || (kept.Leaving && kept.service == service && age <= leavingTTL) {
+			told = append(told, kept)
+		}
+	}
+	slices.SortFunc(told, func(a, b keptCondition) int {
+		if a.Node == node || b.Node == node {
+			return compareBool(b.Node == node, a.Node == node)
+		}
+		return b.toldAt.Compare(a.toldAt)
+	})
+	conditions := make([]carrier.UpstreamCondition, 0, len(told))
+	for _, kept := range told[:min(len(told), maxLeaving)] {
+		kept.Node = ""
+		conditions = append(conditions, kept.UpstreamCondition)
+	}
+	return conditions
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
--- a/internal/conditionkeeper/conditionkeeper_test.go
+++ b/internal/conditionkeeper/conditionkeeper_test.go
@@ -28,7 +28,7 @@
 }
 
 func (k *Keeper) limitAt(node string) float64 {
-	for _, condition := range k.For(node) {
+	for _, condition := range k.For("s", node) {
 		return condition.RateLimit
 	}
 	return 0
@@ -47,7 +47,7 @@
 		{limitOf("a", 7, 3), 3},
 	}
 	for i, step := range steps {
-		k.Record(step.condition)
+		k.Record("s", step.condition)
 		if got := k.limitAt("a"); got != step.want {
 			t.Errorf("after step %d: a limit of %g, want %g", i, got, step.want)
 		}
@@ -65,7 +65,7 @@
 	k, clock := newTestKeeper()
 	for i := range maxConditions + 10 {
 		clock.now = clock.now.Add(time.Millisecond)
-		k.Record(limitOf(fmt.Sprint(i), 1, 9))
+		k.Record("s", limitOf(fmt.Sprint(i), 1, 9))
 	}
 	if len(k.conditions) > maxConditions {
 		t.Errorf("%d conditions are kept, want at most %d", len(k.conditions), maxConditions)
@@ -74,3 +74,31 @@
 		t.Error("the oldest condition was kept, or the newest was not")
 	}
 }
+
+// TestLeavingUpstreamsOfServiceAreTold covers attempts that a node hands off: they tell of the leaving upstreams of their
+// service, and no more than a few of them.
+func TestLeavingUpstreamsOfServiceAreTold(t *testing.T) {
+	k, clock := newTestKeeper()
+	leaving := func(service, node string) {
+		clock.now = clock.now.Add(time.Millisecond)
+		k.Record(service, carrier.UpstreamCondition{Node: node, Instance: "i-" + node, Leaving: true})
+	}
+	leaving("s", "target")
+	for i := range maxLeaving + 2 {
+		leaving("s", fmt.Sprint(i))
+	}
+	leaving("other", "x")
+	told := k.For("s", "target")
+	if len(told) != maxLeaving || told[0].Instance != "i-target" || told[1].Instance != fmt.Sprintf("i-%d", maxLeaving+1) {
+		t.Errorf("%+v is told, want the target and then the newest", told)
+	}
+	for _, condition := range told {
+		if condition.Node != "" || condition.Instance == "i-x" {
+			t.Errorf("%+v is told", condition)
+		}
+	}
+	clock.now = clock.now.Add(leavingTTL + time.Second)
+	if told := k.For("s", "target"); len(told) != 1 {
+		t.Errorf("after a while %d are told, want the target's", len(told))
+	}
+}
--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -278,10 +278,10 @@
 func (d *Dispatcher) sendAttempt(ctx context.Context, call *Call, target gossiper.Member, attempt carrier.Attempt, req *fasthttp.Request, resp *fasthttp.Response) carrier.Outcome {
 	resp.Reset()
 	d.Targets.RecordCallStart(target.Name)
-	attempt.Conditions = d.Conditions.For(target.Name)
+	attempt.Conditions = d.Conditions.For(call.Service, target.Name)
 	outcome := d.Sender.Send(ctx, target, attempt, req, resp, call.Deadline)
 	if outcome.Condition != nil {
-		d.Conditions.Record(*outcome.Condition)
+		d.Conditions.Record(call.Service, *outcome.Condition)
 	}
 	d.Targets.RecordCallEnd(target.Name, outcome.Load, isTargetFailure(&outcome, resp))
 	return outcome
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,10 +72,10 @@
 
 // Conditions remembers what upstreams have asked for in the answers that this node has passed on.
 type Conditions interface {
-	// For returns the conditions to send with an attempt to the node.
-	For(node string) []carrier.UpstreamCondition
-	// Record remembers the condition of an outcome.
-	Record(condition carrier.UpstreamCondition)
+	// For returns the conditions to send with an attempt of the service to the node.
+	For(service, node string) []carrier.UpstreamCondition
+	// Record remembers the condition of an outcome of the service.
+	Record(service string, condition carrier.UpstreamCondition)
 }
 
 // Claims ensures that a request with an idempotency key runs once, whichever entry node receives it.
--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -7,6 +7,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/pacer"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // ResponseKind is the kind of response in which the upstream named its conditions.
@@ -38,23 +39,31 @@
 
 // upstreamConditions is what one process of the upstream has named so far.
 type upstreamConditions struct {
+	// born is when the process was born of which an entry node has told; zero if none has.
+	born int64
 	// heard is true if this node has had a response of it to a request.
 	heard bool
 	// last are the conditions in its last response.
 	last interpreter.Conditions
+	// leaving is true if it has named itself leaving.
+	leaving bool
 	// limitedSince is when it named the rate limit that is in force; zero if there is none.
 	limitedSince time.Time
 	// limitInProbes is true if it has named that limit in the response to a probe.
 	limitInProbes bool
 }
 
-// ObserveConditions records the conditions in a response of the upstream, and keeps to its rate limit from now on.
+// ObserveConditions records the conditions in a response of the upstream, and keeps to its rate limit from now on. An
+// upstream that names itself leaving gets no new requests until another process is announced.
 // Responses of an instance other than the current one are ignored.
 func (e *Executor) ObserveConditions(named NamedConditions) {
 	e.countConditions(&named)
 	if e.recordConditions(&named) && e.OnConditions != nil {
 		e.OnConditions(named)
 	}
+	if named.Leaving {
+		e.OnUpstreamLeaving(named.Instance, 0)
+	}
 }
 
 // recordConditions reports whether the conditions differ from those of the last response.
@@ -71,6 +80,10 @@
 		e.conditions.heard = true
 	}
 	e.updateRateLimit(now, named)
+	if named.Leaving {
+		e.conditions.leaving = true
+		e.applyLimit()
+	}
 	changed = named.Conditions != e.conditions.last
 	e.conditions.last = named.Conditions
 	return changed
@@ -99,12 +112,16 @@
 	e.notifyPeers()
 }
 
-// adoptConditions applies what an entry node has been told by the process of the upstream, if this node has been started
-// since and had no response of it yet.
+// adoptConditions applies what an entry node has been told by the process of the upstream, if this node does not know it
+// because it has been started since.
 func (e *Executor) adoptConditions(told []carrier.UpstreamCondition) {
 	for i := range told {
-		if e.adoptCondition(&told[i]) {
-			e.Meter.Event("conditions_adopted")
+		if !e.adoptCondition(&told[i]) {
+			continue
+		}
+		e.Meter.Event("conditions_adopted")
+		if told[i].Leaving {
+			e.OnUpstreamLeaving(told[i].Instance, told[i].Born)
 		}
 	}
 }
@@ -112,13 +129,19 @@
 func (e *Executor) adoptCondition(told *carrier.UpstreamCondition) (adopted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !told.IsOf(e.announcement.Instance, e.announcement.Born) || e.conditions.heard || !e.conditions.limitedSince.IsZero() {
+	if !told.IsOf(e.announcement.Instance, e.announcement.Born) {
 		return false
 	}
+	if told.Leaving && !e.conditions.leaving {
+		e.conditions.leaving, e.conditions.born = true, told.Born
+		e.applyLimit()
+		adopted = true
+	}
 	limit := interpreter.NewRateLimit(told.RateLimit)
-	if limit.PerSecond == 0 {
-		return false
+	if e.conditions.heard || !e.conditions.limitedSince.IsZero() || limit.PerSecond == 0 {
+		return adopted
 	}
+	e.conditions.born = told.Born
 	now := e.Clock.Now()
 	e.updateRateLimit(now, &NamedConditions{
 		Conditions: interpreter.Conditions{RateLimit: limit}, Instance: told.Instance, Kind: ResponseAnswer, SentAt: now,
@@ -133,6 +156,7 @@
 	defer e.mu.Unlock()
 	condition := &carrier.UpstreamCondition{
 		Node: e.Name, Instance: e.announcement.Instance, Born: e.announcement.Born, RateLimit: e.schedule.RateLimit(),
+		Leaving: e.conditions.leaving,
 	}
 	isOutdated := e.conditions.heard && slices.ContainsFunc(a.Conditions, func(told carrier.UpstreamCondition) bool {
 		return told.IsOf(condition.Instance, condition.Born) && !told.IsNone()
@@ -153,6 +177,16 @@
 	return named.Kind == ResponseAnswer || (named.Kind == ResponseProbe && e.conditions.limitInProbes)
 }
 
+// isNewProcess reports whether the announcement is of another process of the upstream than the current one, or than the one
+// that an entry node has told of. It is called with mu held.
+func (e *Executor) isNewProcess(a announcer.Announcement) bool {
+	told := e.announcement
+	if e.conditions.born != 0 {
+		told.Born = e.conditions.born
+	}
+	return !a.IsSameProcess(e.announcement) || !a.IsSameProcess(told)
+}
+
 // resetConditions forgets what the upstream has named, for a new process. It is called with mu held.
 func (e *Executor) resetConditions() {
 	now := e.Clock.Now()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -129,8 +129,11 @@
 	OnConditions func(named NamedConditions)
 	// OnUpstreamDown is called with the upstream's instance when its process is gone.
 	OnUpstreamDown func(instance string)
-	Quarantiner    *quarantiner.Quarantiner
-	Recorder       *recorder.Recorder
+	// OnUpstreamLeaving is called with the upstream's instance, and when it was born if an entry node has told that, when it
+	// names itself leaving. It can be called repeatedly.
+	OnUpstreamLeaving func(instance string, born int64)
+	Quarantiner       *quarantiner.Quarantiner
+	Recorder          *recorder.Recorder
 	// Repeats limits how many repeated requests reach the upstream.
 	Repeats  *budgeter.Repeats
 	Sender   Sender
@@ -210,9 +213,8 @@
 	if e.draining.Load() {
 		return
 	}
-	old := e.announcement
+	old, isNew := e.announcement, e.isNewProcess(a)
 	e.announcement = a
-	isNew := !a.IsSameProcess(old)
 	if isNew {
 		e.load = loadReport{}
 		e.resetConditions()
@@ -229,10 +231,10 @@
 	e.applyLimit()
 }
 
-// applyLimit sets the scheduler's slots to the current limit. An upstream that is not ready gets no slots,
+// applyLimit sets the scheduler's slots to the current limit. An upstream that is not ready or leaves gets no slots,
 // and the queued requests are refused. It is called with mu held.
 func (e *Executor) applyLimit() {
-	if e.announcement.State == announcer.StateReady {
+	if e.announcement.State == announcer.StateReady && !e.conditions.leaving {
 		e.schedule.SetSlots(e.Clock.Now(), e.limit.Limit())
 		return
 	}
@@ -435,7 +437,7 @@
 // with mu held.
 func (e *Executor) stateRefusal(x *Execution) *refuser.Refusal {
 	state := e.announcement.State
-	if e.draining.Load() || state == announcer.StateDraining {
+	if e.draining.Load() || state == announcer.StateDraining || e.conditions.leaving {
 		return refuser.New(refuser.ReasonDraining, "the server is leaving")
 	}
 	if state != announcer.StateReady || e.announcement.Service != x.Attempt.Service {
--- a/internal/executor/harness_test.go
+++ b/internal/executor/harness_test.go
@@ -79,20 +79,21 @@
 		m.slowdown.Store(1)
 		clock := timekeeper.System{}
 		m.Executor = New(Config{
-			Bytes:          budgeter.NewBytes(clock, rate),
-			Clock:          clock,
-			Links:          m,
-			LoadProber:     m,
-			Meter:          meter.New(),
-			Name:           m.name,
-			OnUpstreamDown: func(string) {},
-			Quarantiner:    quarantiner.New(clock, nil),
-			Recorder:       recorder.New(clock),
-			Repeats:        budgeter.NewRepeats(clock, func() budgeter.RepeatLimits { return budgeter.RepeatLimits{Window: time.Second} }),
-			Sender:         m,
-			Siblings:       m,
-			AddContext:     func(*carrier.Attempt, *fasthttp.Request, string, time.Time) {},
-			Upstream:       m,
+			Bytes:             budgeter.NewBytes(clock, rate),
+			Clock:             clock,
+			Links:             m,
+			LoadProber:        m,
+			Meter:             meter.New(),
+			Name:              m.name,
+			OnUpstreamDown:    func(string) {},
+			OnUpstreamLeaving: func(string, int64) {},
+			Quarantiner:       quarantiner.New(clock, nil),
+			Recorder:          recorder.New(clock),
+			Repeats:           budgeter.NewRepeats(clock, func() budgeter.RepeatLimits { return budgeter.RepeatLimits{Window: time.Second} }),
+			Sender:            m,
+			Siblings:          m,
+			AddContext:        func(*carrier.Attempt, *fasthttp.Request, string, time.Time) {},
+			Upstream:          m,
 		})
 		m.Configure(document)
 		m.HandleAnnouncement(announcer.Announcement{
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -38,7 +38,7 @@
 	}
 	if atStart.instance == "" {
 		e.release(w)
-		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")}
+		return carrier.Outcome{Refusal: e.goneRefusal(x)}
 	}
 	undo, refusal := e.recordArrival(x)
 	if refusal != nil {
@@ -105,7 +105,7 @@
 
 // startState is the state of the upstream when a request started to run there.
 type startState struct {
-	// instance is empty where the upstream now serves another service.
+	// instance is empty where the upstream now serves another service or leaves.
 	instance string
 	// running is the number of running requests, including this one.
 	running int
@@ -125,13 +125,13 @@
 
 // registerRun registers the attempt as in flight. It reports false when both this request and another one in
 // flight are crash suspects: suspects with different fingerprints don't run at the same time, so that the
-// next crash shows which of them caused it. If the upstream now serves another service, nothing is registered
-// and the instance in atStart is empty.
+// next crash shows which of them caused it. If the upstream now serves another service or leaves, nothing is
+// registered and the instance in atStart is empty.
 func (e *Executor) registerRun(x *Execution) (atStart startState, admitted bool) {
 	fingerprint := e.fingerprint(x)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.announcement.Service != x.Attempt.Service {
+	if e.announcement.Service != x.Attempt.Service || e.conditions.leaving {
 		return startState{}, true
 	}
 	if e.Quarantiner.IsSuspect(fingerprint) {
@@ -145,6 +145,16 @@
 	return startState{instance: e.announcement.Instance, running: e.schedule.Running(), steady: e.isSteady()}, true
 }
 
+// goneRefusal returns the refusal of an attempt whose upstream was replaced or leaves.
+func (e *Executor) goneRefusal(x *Execution) *refuser.Refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if refusal := e.stateRefusal(x); refusal != nil {
+		return refusal
+	}
+	return refuser.New(refuser.ReasonNoUpstream, "the upstream beside the node was replaced")
+}
+
 // abortRun frees the slot of a registered attempt that is not sent to the upstream after all.
 func (e *Executor) abortRun(x *Execution, w *scheduler.Waiter) {
 	e.mu.Lock()
--- a/internal/executor/wait.go
+++ b/internal/executor/wait.go
@@ -7,6 +7,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/scheduler"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // runQueued queues the attempt, with this node as its home, and runs it in the first slot that becomes free
@@ -145,7 +146,8 @@
 	class := scheduler.Class{Neighbour: request.Neighbour, Rank: request.Rank}
 	w := scheduler.NewReservation(now, class, now.Add(request.Timeout))
 	e.mu.Lock()
-	if e.limit.FailureRate() > maxFailureRate || e.isSlow() || e.schedule.IsThrottled(now) {
+	if e.announcement.State != announcer.StateReady || e.conditions.leaving || e.limit.FailureRate() > maxFailureRate ||
+		e.isSlow() || e.schedule.IsThrottled(now) {
 		// An upstream that fails fast frees its slots fast; it must not attract work that way.
 		e.mu.Unlock()
 		e.Meter.Event("reservations_declined")
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -222,7 +222,7 @@
 // process if none is known, when the upstream is healthy.
 func (p *Prober) discover(ctx context.Context, target *Target) {
 	answer, status := p.probe(ctx, target)
-	if status != fasthttp.StatusOK || answer.Instance == "" {
+	if status != fasthttp.StatusOK || answer.Instance == "" || answer.Conditions.Leaving {
 		return
 	}
 	if target.Instance != "" && answer.Instance != target.Instance {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -43,7 +43,9 @@
 	lease     time.Duration
 	// isLeaving is true when the current process has announced that it is shutting down.
 	isLeaving bool
-	timer     timekeeper.Timer
+	// leaving is the last process that has said to the node's callers that it leaves; zero if there was none.
+	leaving announcer.Announcement
+	timer   timekeeper.Timer
 }
 
 // New returns a registrar without an upstream, whose leases last LeaseTime. It calls onChange after each
@@ -58,8 +60,8 @@
 	return &Registrar{clock: clock, lease: lease, onChange: onChange, current: gone}
 }
 
-// Announce stores an announcement, or renews its lease, and returns the lease. The error wraps ErrInvalid or
-// ErrOutdated.
+// Announce stores an announcement, or renews its lease, and returns the lease. A process that MarkLeaving has named stays
+// draining. The error wraps ErrInvalid or ErrOutdated.
 func (r *Registrar) Announce(a announcer.Announcement) (announcer.Lease, error) {
 	if err := validate(a); err != nil {
 		return announcer.Lease{}, err
@@ -67,6 +69,9 @@
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
+	if a.State != announcer.StateGone && r.leaving.Instance != "" && a.IsSameProcess(r.leaving) {
+		a.State = announcer.StateDraining
+	}
 	if err := r.checkOrder(a); err != nil {
 		r.mu.Unlock()
 		return announcer.Lease{}, err
@@ -166,13 +171,38 @@
 	r.onChange(draining)
 }
 
+// MarkLeaving records that the current process has said in its answers that it leaves. Its state becomes draining and stays
+// so, whatever it announces. A born that is not zero is when the process was born that has said so. It is ignored for a
+// process other than the current one.
+func (r *Registrar) MarkLeaving(instance string, born int64) {
+	r.notifyMu.Lock()
+	defer r.notifyMu.Unlock()
+	r.mu.Lock()
+	leaving := announcer.Announcement{Instance: instance, Born: max(born, r.current.Born)}
+	if !r.current.IsSameProcess(announcer.Announcement{Instance: instance, Born: born}) || r.leaving == leaving {
+		r.mu.Unlock()
+		return
+	}
+	r.leaving = leaving
+	wasServing := r.current.State != announcer.StateDraining && r.current.State != announcer.StateGone
+	if wasServing {
+		r.current.State = announcer.StateDraining
+	}
+	draining := r.current
+	r.mu.Unlock()
+	if wasServing {
+		r.onChange(draining)
+	}
+}
+
 // AddDiscovered stores an upstream that was discovered without an announcement, unless the current upstream is ready
 // or the discovered one is shutting down.
 func (r *Registrar) AddDiscovered(a announcer.Announcement) {
 	r.mu.Lock()
-	current, isLeaving := r.current, r.isLeaving
+	current := r.current
+	isLeaving := (r.isLeaving && current.Instance == a.Instance) || (r.leaving.Instance != "" && a.IsSameProcess(r.leaving))
 	r.mu.Unlock()
-	if current.State == announcer.StateReady || (isLeaving && current.Instance == a.Instance) {
+	if current.State == announcer.StateReady || isLeaving {
 		return
 	}
 	if current.Instance == a.Instance {
--- a/internal/relayer/conditions_test.go
+++ b/internal/relayer/conditions_test.go
@@ -41,6 +41,11 @@
 		MinServed float64 `json:"min-served"`
 	} `json:"kinds"`
 	Limits []namedLimit `json:"limits"`
+	// Leaving are the upstreams that name themselves leaving from a time on, while they announce that they are ready.
+	Leaving []struct {
+		Node string             `json:"node"`
+		From validator.Duration `json:"from"`
+	} `json:"leaving"`
 	// Restarts are restarts of nodes. The upstreams beside them go on.
 	Restarts []struct {
 		Node string             `json:"node"`
@@ -61,6 +66,8 @@
 type upstreamArrival struct {
 	at    time.Duration
 	entry string
+	// sentAt is when the caller sent the request.
+	sentAt time.Duration
 }
 
 // delivery identifies the answers of one upstream that one entry node has delivered.
@@ -81,7 +88,11 @@
 	arrivals map[string][]upstreamArrival
 	// limitDelivered is when an entry node first delivered an answer with a rate limit.
 	limitDelivered map[delivery]time.Duration
-	sent, served   map[string]int
+	// leavingDelivered is when an entry node first delivered an answer of a leaving upstream.
+	leavingDelivered map[delivery]time.Duration
+	// sentAt is when each request was sent, by its ID.
+	sentAt       map[string]time.Duration
+	sent, served map[string]int
 }
 
 // headerTestInstance names the instance that has answered.
@@ -91,9 +102,10 @@
 	t.Helper()
 	r := &conditionRun{
 		arrivals: make(map[string][]upstreamArrival), limitDelivered: make(map[delivery]time.Duration),
+		leavingDelivered: make(map[delivery]time.Duration), sentAt: make(map[string]time.Duration),
 		sent: make(map[string]int), served: make(map[string]int),
 	}
-	readScenario(t, "testdata/rate-limits/"+name+".json", &r.scenario)
+	readScenario(t, "testdata/conditions/"+name+".json", &r.scenario)
 	synctest.Test(t, func(t *testing.T) {
 		r.virtualDeployment = newVirtualDeployment(t)
 		r.random = &lockedRand{random: rand.New(rand.NewPCG(r.scenario.Seed, 0))}
@@ -112,18 +124,13 @@
 func (r *conditionRun) play(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	for _, name := range r.names {
-		go func() {
-			for ctx.Err() == nil {
-				r.member(name).executor.Sweep()
-				time.Sleep(executor.SweepInterval)
-			}
-		}()
+		go r.member(name).maintain(ctx)
 	}
 	var load sync.WaitGroup
 	for _, restart := range r.scenario.Restarts {
 		load.Go(func() {
 			time.Sleep(restart.At.Std())
-			r.restart(restart.Node)
+			r.restart(ctx, restart.Node)
 		})
 	}
 	for _, kind := range r.scenario.Kinds {
@@ -136,22 +143,37 @@
 		})
 	}
 	load.Wait()
-	stop()
 	// Work that nodes do after an answer, such as ending a lost hedge, is over by then.
 	time.Sleep(5 * time.Second)
+	stop()
+	time.Sleep(executor.SweepInterval)
+}
+
+// maintain does the periodic work of a node and of the upstream beside it.
+func (v *virtualNode) maintain(ctx context.Context) {
+	for ctx.Err() == nil {
+		v.executor.Sweep()
+		v.announce()
+		time.Sleep(executor.SweepInterval)
+	}
 }
 
 // restart restarts a node and makes it known. What it has delivered before does not bind it.
-func (r *conditionRun) restart(node string) {
-	r.add(node, scenarioNodes[node])
+func (r *conditionRun) restart(ctx context.Context, node string) {
+	go r.add(node, scenarioNodes[node]).maintain(ctx)
 	r.makeKnown([]string{node}, r.names)
 	r.makeKnown(r.names, []string{node})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.limitDelivered, func(d delivery, _ time.Duration) bool { return d.entry == node })
+	ofNode := func(d delivery, _ time.Duration) bool { return d.entry == node }
+	maps.DeleteFunc(r.limitDelivered, ofNode)
+	maps.DeleteFunc(r.leavingDelivered, ofNode)
 }
 
 func (r *conditionRun) send(entry string, kind requestKind, id string) {
+	r.mu.Lock()
+	r.sentAt[id] = time.Since(r.started)
+	r.mu.Unlock()
 	resp := r.member(entry).requestAnswer(context.Background(), id, kind.Name, kind.Idempotent, kind.Limit.Std())
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,12 +181,16 @@
 	if resp.StatusCode() == fasthttp.StatusOK {
 		r.served[kind.Name]++
 	}
-	if len(resp.Header.Peek(interpreter.HeaderRateLimit)) == 0 {
-		return
-	}
+	r.recordDelivery(entry, resp, interpreter.HeaderRateLimit, r.limitDelivered)
+	r.recordDelivery(entry, resp, interpreter.HeaderLeaving, r.leavingDelivered)
+}
+
+// recordDelivery records that the entry node has delivered an answer, if it is the instance's first one with the header. It
+// is called with mu held.
+func (r *conditionRun) recordDelivery(entry string, resp *fasthttp.Response, header string, delivered map[delivery]time.Duration) {
 	key := delivery{entry: entry, instance: string(resp.Header.Peek(headerTestInstance))}
-	if _, ok := r.limitDelivered[key]; !ok {
-		r.limitDelivered[key] = time.Since(r.started)
+	if _, ok := delivered[key]; !ok && len(resp.Header.Peek(header)) > 0 {
+		delivered[key] = time.Since(r.started)
 	}
 }
 
@@ -173,7 +199,7 @@
 	id := string(req.Header.Peek(headerTestRequest))
 	entry, rest, _ := strings.Cut(id, "-")
 	r.mu.Lock()
-	r.arrivals[at.instance] = append(r.arrivals[at.instance], upstreamArrival{at: time.Since(r.started), entry: entry})
+	r.arrivals[at.instance] = append(r.arrivals[at.instance], upstreamArrival{at: time.Since(r.started), entry: entry, sentAt: r.sentAt[id]})
 	r.mu.Unlock()
 	for _, kind := range r.scenario.Kinds {
 		if !strings.HasPrefix(rest, kind.Name) {
@@ -190,6 +216,11 @@
 			resp.Header.Add(interpreter.HeaderRateLimit, limit.Value)
 		}
 	}
+	for _, leaving := range r.scenario.Leaving {
+		if leaving.Node == at.name && time.Since(r.started) >= leaving.From.Std() {
+			resp.Header.Set(interpreter.HeaderLeaving, "1")
+		}
+	}
 	return nil
 }
 
@@ -254,6 +285,30 @@
 	return count
 }
 
+// drainTime is how long after an entry node has delivered an answer of a leaving upstream its callers' requests can still
+// reach that upstream.
+const drainTime = 2 * time.Second
+
+// checkLeaving fails the test if a leaving upstream got a request that was sent after the drain time.
+func (r *conditionRun) checkLeaving(t *testing.T) {
+	t.Helper()
+	for _, instance := range slices.Sorted(maps.Keys(r.arrivals)) {
+		late := 0
+		for _, a := range r.arrivals[instance] {
+			told, ok := r.leavingDelivered[delivery{entry: a.entry, instance: instance}]
+			if ok && a.sentAt > told+drainTime {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("%s got %d requests that were sent after it had said that it leaves", instance, late)
+		}
+	}
+	if len(r.leavingDelivered) == 0 {
+		t.Error("no node has delivered an answer of a leaving upstream")
+	}
+}
+
 // checkServed fails the test if too few requests of a kind were answered.
 func (r *conditionRun) checkServed(t *testing.T) {
 	t.Helper()
@@ -281,3 +336,11 @@
 	r.checkLimits(t)
 	r.checkServed(t)
 }
+
+// TestLeavingUpstreamGetsNoRequests guards against requests to an upstream that names itself leaving in its answers, while
+// its announcements say that it is ready and the nodes beside it and its siblings are restarted.
+func TestLeavingUpstreamGetsNoRequests(t *testing.T) {
+	r := runConditions(t, "leaving")
+	r.checkLeaving(t)
+	r.checkServed(t)
+}
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -144,13 +144,21 @@
 	node.executor.Sender, node.executor.Links, node.executor.Upstream, node.executor.LoadProber = v, v, v, v
 	node.executor.Siblings = v
 	node.SetInitialDocument(d.document)
-	node.upstreamAnnounced(announcer.Announcement{
-		Address: "127.0.0.1:1", Instance: v.instance, Service: service, Slots: virtualSlots, State: announcer.StateReady,
-	})
+	v.announce()
 	node.router.Update(v.record())
 	return v
 }
 
+// announce announces the upstream to its node, as ready.
+func (v *virtualNode) announce() {
+	if _, err := v.registrar.Announce(announcer.Announcement{
+		Address: "127.0.0.1:1", Born: 1, Instance: v.instance, Service: v.serves, Slots: virtualSlots,
+		State: announcer.StateReady,
+	}); err != nil {
+		v.deployment.t.Error(err)
+	}
+}
+
 // makeKnown adds the nodes in known to the routers of the nodes in to.
 func (d *virtualDeployment) makeKnown(to, known []string) {
 	for _, name := range to {
