Tell entries how long an upstream's rate limit delays a request

Cause: entries picked an upstream whose limit was used up as if it had room, and came to its siblings only after up to three hand-backs.

Change: outcomes and load notices carry the delay, which is a cost of the target in time and passes by itself; a delayed target is not responsive and gets the least weight. Absurd delays are cut to 5 s. Nothing is sent without a limit.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -139,7 +139,9 @@
 	Latency time.Duration `json:"latency"`
 	Queued  int           `json:"queued"`
 	Running int           `json:"running"`
-	Slots   int           `json:"slots"`
+	// StartDelay is how long the upstream's rate limit would delay a new request; zero if it can start at once.
+	StartDelay time.Duration `json:"start-delay,omitempty"`
+	Slots      int           `json:"slots"`
 }
 
 // slowThreshold is the slowdown from which an upstream counts as slow. It is above 2 because an upstream that has
@@ -217,8 +219,7 @@
 	writeCondition(resp, outcome.Condition)
 	resp.Header.Set(headerEcho, a.echoValue())
 	resp.Header.Set(headerUsed, strconv.FormatInt(int64(outcome.UpstreamTime), 10))
-	load := outcome.Load
-	resp.Header.Set(headerLoad, fmt.Sprintf("%d %d %d %d %.2f %.2f", load.Running, load.Queued, load.Slots, load.Latency, load.Slowdown, load.BestSlotFraction))
+	resp.Header.Set(headerLoad, formatLoad(outcome.Load))
 }
 
 // Outcome is how an attempt ended.
@@ -279,13 +280,26 @@
 	return outcome, true
 }
 
+// minLoadFields is the number of numbers in a load header without a start delay, which nodes leave out if it is zero.
+const minLoadFields = 6
+
+// formatLoad returns the text of the load header. Times are in nanoseconds.
+func formatLoad(load Load) string {
+	text := fmt.Sprintf("%d %d %d %d %.2f %.2f", load.Running, load.Queued, load.Slots, load.Latency, load.Slowdown, load.BestSlotFraction)
+	if load.StartDelay > 0 {
+		text += fmt.Sprintf(" %d", load.StartDelay)
+	}
+	return text
+}
+
 // parseLoad parses the load header. It returns the zero Load if the text is not valid.
 func parseLoad(text string) Load {
 	var load Load
-	var latency int64
-	if _, err := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency, &load.Slowdown, &load.BestSlotFraction); err != nil {
+	var latency, startDelay int64
+	parsed, _ := fmt.Sscan(text, &load.Running, &load.Queued, &load.Slots, &latency, &load.Slowdown, &load.BestSlotFraction, &startDelay)
+	if parsed < minLoadFields {
 		return Load{}
 	}
-	load.Latency = time.Duration(latency)
+	load.Latency, load.StartDelay = time.Duration(latency), time.Duration(startDelay)
 	return load
 }
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -45,6 +45,9 @@
 	// BestSlotsPercent is the share of its slots, in percent, at which the upstream has its highest throughput;
 	// zero if its node has not learned it.
 	BestSlotsPercent int `cbor:"5,keyasint,omitempty"`
+	// StartDelayMillis is how long the upstream's rate limit would delay a new request, in milliseconds; zero if it can
+	// start at once.
+	StartDelayMillis int `cbor:"6,keyasint,omitempty"`
 }
 
 // Packet is the decoded content of one datagram between members.
--- a/internal/relayer/conditions_test.go
+++ b/internal/relayer/conditions_test.go
@@ -37,8 +37,10 @@
 	Length validator.Duration `json:"length"`
 	Kinds  []struct {
 		requestKind
-		// MinServed is the fraction of the requests that must be answered.
-		MinServed float64 `json:"min-served"`
+		// MinServed is the fraction of the requests that must be answered, and MinInTime that within Target.
+		MinServed float64            `json:"min-served"`
+		MinInTime float64            `json:"min-in-time"`
+		Target    validator.Duration `json:"target"`
 	} `json:"kinds"`
 	Limits []namedLimit `json:"limits"`
 	// Leaving are the upstreams that name themselves leaving from a time on, while they announce that they are ready.
@@ -91,8 +93,9 @@
 	// leavingDelivered is when an entry node first delivered an answer of a leaving upstream.
 	leavingDelivered map[delivery]time.Duration
 	// sentAt is when each request was sent, by its ID.
-	sentAt       map[string]time.Duration
-	sent, served map[string]int
+	sentAt map[string]time.Duration
+	// sent, served and inTime count the requests of each kind: all, those answered, and those answered within the target.
+	sent, served, inTime map[string]int
 }
 
 // headerTestInstance names the instance that has answered.
@@ -103,7 +106,7 @@
 	r := &conditionRun{
 		arrivals: make(map[string][]upstreamArrival), limitDelivered: make(map[delivery]time.Duration),
 		leavingDelivered: make(map[delivery]time.Duration), sentAt: make(map[string]time.Duration),
-		sent: make(map[string]int), served: make(map[string]int),
+		sent: make(map[string]int), served: make(map[string]int), inTime: make(map[string]int),
 	}
 	readScenario(t, "testdata/conditions/"+name+".json", &r.scenario)
 	synctest.Test(t, func(t *testing.T) {
@@ -138,7 +141,9 @@
 			for i := 0; time.Since(r.started) < r.scenario.Length.Std(); i++ {
 				time.Sleep(r.random.exponential(time.Duration(float64(time.Second) / kind.Rate)))
 				entry := r.names[i%len(r.names)]
-				load.Go(func() { r.send(entry, kind.requestKind, fmt.Sprintf("%s-%s-%d", entry, kind.Name, i)) })
+				load.Go(func() {
+					r.send(entry, kind.requestKind, kind.Target.Std(), fmt.Sprintf("%s-%s-%d", entry, kind.Name, i))
+				})
 			}
 		})
 	}
@@ -170,7 +175,8 @@
 	maps.DeleteFunc(r.leavingDelivered, ofNode)
 }
 
-func (r *conditionRun) send(entry string, kind requestKind, id string) {
+func (r *conditionRun) send(entry string, kind requestKind, target time.Duration, id string) {
+	began := time.Now()
 	r.mu.Lock()
 	r.sentAt[id] = time.Since(r.started)
 	r.mu.Unlock()
@@ -180,6 +186,9 @@
 	r.sent[kind.Name]++
 	if resp.StatusCode() == fasthttp.StatusOK {
 		r.served[kind.Name]++
+		if time.Since(began) <= target {
+			r.inTime[kind.Name]++
+		}
 	}
 	r.recordDelivery(entry, resp, interpreter.HeaderRateLimit, r.limitDelivered)
 	r.recordDelivery(entry, resp, interpreter.HeaderLeaving, r.leavingDelivered)
@@ -309,12 +318,16 @@
 	}
 }
 
-// checkServed fails the test if too few requests of a kind were answered.
+// checkServed fails the test if too few requests of a kind were answered, or answered in time.
 func (r *conditionRun) checkServed(t *testing.T) {
 	t.Helper()
 	for _, kind := range r.scenario.Kinds {
 		served := float64(r.served[kind.Name]) / float64(r.sent[kind.Name])
-		t.Logf("%s: %d sent, %.4f served", kind.Name, r.sent[kind.Name], served)
+		inTime := float64(r.inTime[kind.Name]) / float64(r.sent[kind.Name])
+		t.Logf("%s: %d sent, %.4f served, %.4f in time", kind.Name, r.sent[kind.Name], served, inTime)
+		if inTime < kind.MinInTime {
+			t.Errorf("%s: %.4f in time, want at least %.4f", kind.Name, inTime, kind.MinInTime)
+		}
 		if served < kind.MinServed {
 			t.Errorf("%s: %.4f served, want at least %.4f", kind.Name, served, kind.MinServed)
 		}
@@ -344,3 +357,19 @@
 	r.checkLeaving(t)
 	r.checkServed(t)
 }
+
+// TestRateLimitsThatChangeAreKept guards against what was sent under a higher limit, or without one, adding to what a lower
+// one allows.
+func TestRateLimitsThatChangeAreKept(t *testing.T) {
+	r := runConditions(t, "falling")
+	r.checkLimits(t)
+	r.checkServed(t)
+}
+
+// TestUrgentRequestsWithinRateLimits guards against rate limits of a whole service that are used up by the lower rank, or by
+// requests that wait where others could be sent.
+func TestUrgentRequestsWithinRateLimits(t *testing.T) {
+	r := runConditions(t, "all-limited")
+	r.checkLimits(t)
+	r.checkServed(t)
+}
--- a/internal/relayer/peerclient.go
+++ b/internal/relayer/peerclient.go
@@ -64,7 +64,7 @@
 func (c *peerClient) SendLoad(entries []string, load carrier.Load) {
 	c.sendLoad(entries, gossiper.Load{
 		Queued: load.Queued, Running: load.Running, Slots: load.Slots, SlowdownPercent: int(100 * load.Slowdown),
-		BestSlotsPercent: int(math.Round(100 * load.BestSlotFraction)),
+		BestSlotsPercent: int(math.Round(100 * load.BestSlotFraction)), StartDelayMillis: int(load.StartDelay.Milliseconds()),
 	})
 }
 
@@ -80,7 +80,7 @@
 func loadFromGossip(load gossiper.Load) carrier.Load {
 	return carrier.Load{
 		Queued: load.Queued, Running: load.Running, Slots: load.Slots, Slowdown: float64(load.SlowdownPercent) / 100,
-		BestSlotFraction: float64(load.BestSlotsPercent) / 100,
+		BestSlotFraction: float64(load.BestSlotsPercent) / 100, StartDelay: time.Duration(load.StartDelayMillis) * time.Millisecond,
 	}
 }
 
--- a/internal/router/cheapest.go
+++ b/internal/router/cheapest.go
@@ -49,9 +49,9 @@
 	return true
 }
 
-// isResponsive reports whether the target is believed to have free slots and its usual speed.
+// isResponsive reports whether the target is believed to have free slots, its usual speed and room in its rate limit.
 func (c *Candidate) isResponsive() bool {
-	return c.load() < 1 && !c.Slow
+	return c.load() < 1 && !c.Slow && c.StartDelay == 0
 }
 
 // load returns the estimated fraction of the slots in use: the reported load, which fades with its age, or this node's
@@ -71,6 +71,7 @@
 	}
 	cost := time.Duration(float64(c.Distance) * distanceCostFactor * float64(targetLatency))
 	cost += time.Duration(c.FailureRate * float64(failureCost))
+	cost += c.StartDelay
 	if c.Slow {
 		cost += slowCost
 	}
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -23,6 +23,8 @@
 	ReportAge time.Duration
 	// Slow is true if the target's upstream was recently reported to be slow or a response of it was overdue.
 	Slow bool
+	// StartDelay is how long the upstream's rate limit is expected to delay a new request; zero if it can start at once.
+	StartDelay time.Duration
 	// Slots is the number of requests that the target's upstream runs at once; zero if it is not known.
 	Slots int
 	// Weight is from 0 to 1 and lower for a target that is slow or fails.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,8 @@
 	minWeight    = 0.02
 	// slowReportLifetime is how long a target counts as slow after it has reported that it is.
 	slowReportLifetime = 400 * time.Millisecond
+	// maxStartDelay replaces every longer reported start delay, so that a target is tried again.
+	maxStartDelay = 5 * time.Second
 	// overdueSlowTime is how long a target counts as slow after one of its responses is overdue.
 	overdueSlowTime = 400 * time.Millisecond
 	// speedExponent makes the weight of a slow target lower than in proportion to its speed, because its calls make
@@ -44,6 +46,8 @@
 	backoff      time.Duration
 	backoffUntil time.Time
 	slowUntil    time.Time
+	// delayedUntil is when the upstream's rate limit was reported to let a new request start.
+	delayedUntil time.Time
 }
 
 // Router holds the targets of each service and picks among them. It is safe for concurrent use.
@@ -203,7 +207,8 @@
 			ReportAge:    min(maxReportAge, now.Sub(t.reportedAt)),
 			Slots:        t.Slots,
 			Slow:         now.Before(t.slowUntil),
-			Weight:       t.weight(median),
+			StartDelay:   max(0, t.delayedUntil.Sub(now)),
+			Weight:       t.weight(now, median),
 		}
 	}
 	return candidates
@@ -236,13 +241,16 @@
 }
 
 // weight returns the target's weight, from minWeight to 1. It is lower if the target is slower than the median of its
-// siblings or fails. A faster target gets no more than weight 1, so that quick failures attract no calls.
-func (t *target) weight(median time.Duration) float64 {
+// siblings, fails or has its rate limit used up. A faster target gets no more than weight 1, so that quick failures attract no calls.
+func (t *target) weight(now time.Time, median time.Duration) float64 {
 	speed := 1.0
 	if t.latency > median && median > 0 {
 		speed = float64(median) / float64(t.latency)
 	}
 	success := 1 - t.failureRate
+	if now.Before(t.delayedUntil) {
+		return minWeight
+	}
 	return max(minWeight, math.Pow(speed, speedExponent)*success*success)
 }
 
@@ -322,6 +330,7 @@
 	if load.Slots > 0 {
 		t.reportedLoad = float64(load.Running+load.Queued) / float64(load.Slots)
 		t.reportedAt = now
+		t.delayedUntil = now.Add(min(max(0, load.StartDelay), maxStartDelay))
 	}
 	if load.Slowdown > 0 {
 		t.slowUntil = time.Time{}
