Take a refusal of an upstream as proof only of the try that it answers

Cause: an answer counted as that to the request if it had the request's id or none. A faulty instance writes an earlier refusal once more on a kept connection; then the same request, sent again on it, or with a copy without an id any later request, was told as not run. The look at unread input before a connection is reused helps only where the copy is there by then.

Change: a connection remembers the ids of requests that failed on it and is not used again for these. A refusal without the request's id is skipped on a connection that has had a failure, and closes any other. So a refusal proves its try, also with status 421, and with the product's own header, which has no ids and now costs a connection for each refusal. Between nodes each answer repeats the attempt's sequence number; nothing to change there.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -15,6 +15,8 @@
 // conn is a connection with its buffers and the times that decide whether it is reused.
 type conn struct {
 	net.Conn
+	// failedIDs are the ids of the requests whose responses were failures.
+	failedIDs map[string]struct{}
 	// keepAlive limits the idle time by the server's Keep-Alive header; zero if there was none.
 	keepAlive time.Duration
 	opened    time.Time
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,7 +25,7 @@
 var (
 	// ErrCancelled means that the context was done.
 	ErrCancelled = merry.Sentinel("cancelled")
-	// ErrForeign means that Exchange.Accept rejected the responses on the connection.
+	// ErrForeign means that Exchange.Accept rejected the responses on the connection, or that they were unproven rejections.
 	ErrForeign = merry.Sentinel("answers to other requests")
 	// ErrLost means that the connection failed or ended before the whole response was read, or that the response is
 	// malformed.
@@ -136,6 +136,12 @@
 	// OnOverdue is called when ExpectedFirstByte has passed without a byte of the response. It returns how long to
 	// wait until the next call, or zero to give up with ErrOverdue. It can be nil.
 	OnOverdue func() time.Duration
+	// ID is the id that responses to the request repeat; empty if they repeat none. A connection on which a request with
+	// the same ID has failed is not used, because a copy of that failure could be taken for the response.
+	ID string
+	// Rejection returns what a response that was accepted states. An unidentified rejection is skipped where it could be a
+	// copy of an earlier one on the connection, and closes the connection elsewhere. If nil, no response is a rejection.
+	Rejection func(header *fasthttp.ResponseHeader) Rejection
 	// MaxIdle limits how long a reused connection may have been idle; zero means the pool's limit.
 	MaxIdle time.Duration
 	// ExpectedFirstByte is how long the first byte of a response usually takes at most. OnOverdue is not called if it
@@ -167,7 +173,7 @@
 		_ = c.Close()
 		return p.classify(ctx, err)
 	}
-	if x.NewConnection || x.Response.ConnectionClose() || ctx.Err() != nil || c.reader.Buffered() > 0 {
+	if !c.recordResponse(x) || x.NewConnection || x.Response.ConnectionClose() || ctx.Err() != nil || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return nil
 	}
@@ -211,14 +217,14 @@
 	return p.readMatchingResponse(c, x)
 }
 
-// readMatchingResponse reads responses until Accept takes one. It returns ErrForeign if a rejected response closes the
+// readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if a rejected response closes the
 // connection, or after maxForeignResponses rejected responses.
 func (p *Pool) readMatchingResponse(c *conn, x *Exchange) error {
 	for range maxForeignResponses {
 		if err := p.readResponse(c, x); err != nil {
 			return err
 		}
-		if x.Accept == nil || x.Accept(&x.Response.Header) {
+		if (x.Accept == nil || x.Accept(&x.Response.Header)) && !c.isUnproven(x) {
 			return nil
 		}
 		if x.Response.ConnectionClose() {
@@ -317,15 +323,8 @@
 
 // acquire returns a reusable idle connection or dials a new one. It closes idle connections that can't be reused.
 func (p *Pool) acquire(now time.Time, x *Exchange) (*conn, error) {
-	for !x.NewConnection {
-		c := p.popIdle()
-		if c == nil {
-			break
-		}
-		if p.isReusable(c, now, x.MaxIdle) {
-			return c, nil
-		}
-		_ = c.Close()
+	if c := p.acquireIdle(now, x); c != nil {
+		return c, nil
 	}
 	timeout := min(DefaultDialTimeout, x.Deadline.Sub(now))
 	raw, err := p.dial(p.address, timeout)
@@ -335,6 +334,27 @@
 	return newConn(raw, now), nil
 }
 
+// acquireIdle returns a reusable idle connection, or nil. It closes idle connections that can't be reused, and keeps those
+// on which a request with the same id has failed.
+func (p *Pool) acquireIdle(now time.Time, x *Exchange) *conn {
+	var passedOver []*conn
+	defer func() { p.keep(passedOver...) }()
+	for !x.NewConnection {
+		c := p.popIdle()
+		switch {
+		case c == nil:
+			return nil
+		case !p.isReusable(c, now, x.MaxIdle):
+			_ = c.Close()
+		case c.hasFailed(x.ID):
+			passedOver = append(passedOver, c)
+		default:
+			return c
+		}
+	}
+	return nil
+}
+
 // isReusable reports whether an idle connection is within its limits of age and idle time and has no unread input.
 func (p *Pool) isReusable(c *conn, now time.Time, maxIdle time.Duration) bool {
 	if maxIdle == 0 {
@@ -366,14 +386,21 @@
 // release keeps c for reuse, or closes it if the pool is closed or full.
 func (p *Pool) release(c *conn) {
 	c.lastUsed = p.clock.Now()
-	p.mu.Lock()
-	keep := !p.closed && len(p.idle) < DefaultMaxIdle
-	if keep {
-		p.idle = append(p.idle, c)
-	}
-	p.mu.Unlock()
-	if !keep {
-		_ = c.Close()
+	p.keep(c)
+}
+
+// keep adds the connections to the idle ones, or closes them if the pool is closed or full.
+func (p *Pool) keep(conns ...*conn) {
+	for _, c := range conns {
+		p.mu.Lock()
+		kept := !p.closed && len(p.idle) < DefaultMaxIdle
+		if kept {
+			p.idle = append(p.idle, c)
+		}
+		p.mu.Unlock()
+		if !kept {
+			_ = c.Close()
+		}
 	}
 }
 
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -92,19 +92,36 @@
 	if !req.Header.IsGet() && !req.Header.IsHead() {
 		x.MaxIdle = maxUnsafeIdle
 	}
-	callerRequest, err := u.interpreter.ReadRequest(&req.Header)
-	if err == nil && callerRequest.ID != "" {
+	// A request with an unusable header can still have an id.
+	callerRequest, _ := u.interpreter.ReadRequest(&req.Header)
+	x.ID = callerRequest.ID
+	if x.ID != "" {
 		x.Accept = func(header *fasthttp.ResponseHeader) bool {
 			id := u.interpreter.ReadAnswer(header).ID
-			return id == "" || id == callerRequest.ID
+			return id == "" || id == x.ID
 		}
 	}
+	x.Rejection = func(header *fasthttp.ResponseHeader) forwarder.Rejection {
+		return rejectionOf(u.interpreter.ReadAnswer(header), x.ID)
+	}
 	if err := pool.Do(ctx, x); err != nil {
 		return err
 	}
 	return u.checkAnswer(resp, instance, sentAt)
 }
 
+// rejectionOf returns whether the answer states that the request with the id was not run.
+func rejectionOf(answer interpreter.Answer, id string) forwarder.Rejection {
+	switch {
+	case !answer.NotRun:
+		return forwarder.NoRejection
+	case id != "" && answer.ID == id:
+		return forwarder.IdentifiedRejection
+	default:
+		return forwarder.UnidentifiedRejection
+	}
+}
+
 // checkAnswer reads what the instance reports in the headers of its answer to a request that was sent at the given
 // time, and removes the headers that concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
 // the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
--- /dev/null
+++ b/internal/relayer/upstream_test.go
@@ -0,0 +1,183 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
+)
+
+// answerScript is a series of requests to one upstream, and what it writes when it has read each of them.
+type answerScript struct {
+	Name     string `json:"name"`
+	Requests []struct {
+		ID      string           `json:"id"`
+		Answers []scriptedAnswer `json:"answers"`
+		// Want is the outcome: answered, failed, shed, misdirected or unknown.
+		Want string `json:"want"`
+	} `json:"requests"`
+}
+
+// scriptedAnswer is one answer of the upstream.
+type scriptedAnswer struct {
+	Status int    `json:"status"`
+	ID     string `json:"id"`
+	NotRun bool   `json:"not-run"`
+	// Copy is true for an earlier answer that is written once more, on the connection of the first request only.
+	Copy bool `json:"copy"`
+	// Closes is true if the connection is closed instead.
+	Closes bool `json:"closes"`
+}
+
+// answerHeaders are the headers of an answer in a protocol between node and upstream.
+type answerHeaders struct {
+	interpreter Interpreter
+	id          string
+	notRun      string
+}
+
+func (a *scriptedAnswer) text(headers *answerHeaders) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d Status\r\nContent-Length: 0\r\n", a.Status)
+	if a.ID != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", headers.id, a.ID)
+	}
+	if a.NotRun {
+		fmt.Fprintf(&b, "%s: true\r\n", headers.notRun)
+	}
+	return b.String() + "\r\n"
+}
+
+// serveScript accepts connections and answers the requests on them as the script says.
+func serveScript(t *testing.T, script *answerScript, headers *answerHeaders) net.Addr {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	next := make(chan int, 1)
+	next <- 0
+	go func() {
+		for isFirst := true; ; isFirst = false {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go serveScripted(conn, isFirst, script, headers, next)
+		}
+	}()
+	return socket.Addr()
+}
+
+func serveScripted(conn net.Conn, isFirst bool, script *answerScript, headers *answerHeaders, next chan int) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(reader); err != nil {
+			return
+		}
+		number := <-next
+		next <- number + 1
+		for _, answer := range script.Requests[number].Answers {
+			if answer.Closes {
+				return
+			}
+			if answer.Copy && !isFirst {
+				continue
+			}
+			if _, err := conn.Write([]byte(answer.text(headers))); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// ignoredAnswers is an upstreamObserver that learns nothing.
+type ignoredAnswers struct{}
+
+func (ignoredAnswers) ObserveConditions(executor.NamedConditions) {}
+
+func (ignoredAnswers) UpdateLoad(interpreter.Load) {}
+
+// TestEarlierAnswerIsNoProof guards against an upstream that writes an earlier refusal once more on a kept connection: the
+// copy was taken for the answer to a later request, which had run, so that its caller was told that it had not.
+func TestEarlierAnswerIsNoProof(t *testing.T) {
+	text, err := os.ReadFile("testdata/upstream-answers.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []answerScript
+	if err := json.Unmarshal(text, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	headers := &answerHeaders{interpreter: idInterpreter{}, id: headerTestRequest, notRun: interpreter.HeaderNotRun}
+	for _, script := range scripts {
+		t.Run(script.Name, func(t *testing.T) { script.run(t, headers) })
+	}
+}
+
+// idInterpreter is a testInterpreter for upstreams that repeat the ids of requests and answer 421 to misdirected ones.
+type idInterpreter struct {
+	testInterpreter
+}
+
+// ReadAnswer implements Interpreter.
+func (i idInterpreter) ReadAnswer(header *fasthttp.ResponseHeader) interpreter.Answer {
+	answer := i.testInterpreter.ReadAnswer(header)
+	answer.ID = string(header.Peek(headerTestRequest))
+	answer.NotRun = answer.NotRun || header.StatusCode() == fasthttp.StatusMisdirectedRequest
+	return answer
+}
+
+func (s *answerScript) run(t *testing.T, headers *answerHeaders) {
+	address := serveScript(t, s, headers)
+	upstream := newLocalUpstream(timekeeper.System{}, headers.interpreter)
+	upstream.observer = ignoredAnswers{}
+	upstream.reconnect(announcer.Announcement{Address: address.String(), Instance: "i"})
+	for i, request := range s.Requests {
+		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+		req.SetRequestURI("/")
+		req.Header.SetHost("test")
+		if request.ID != "" {
+			req.Header.Set(headers.id, request.ID)
+		}
+		err := upstream.Do(context.Background(), req, resp, time.Now().Add(10*time.Second))
+		if got := outcomeOf(resp, err); got != request.Want {
+			t.Errorf("request %d: %s (%v), want %s", i, got, err, request.Want)
+		}
+	}
+}
+
+// outcomeOf names the outcome of a request as answerScript does.
+func outcomeOf(resp *fasthttp.Response, err error) string {
+	switch {
+	case errors.Is(err, executor.ErrShed):
+		return "shed"
+	case errors.Is(err, executor.ErrMisdirected):
+		return "misdirected"
+	case errors.Is(err, forwarder.ErrNotSent):
+		return "not sent"
+	case err != nil:
+		return "unknown"
+	case resp.StatusCode() >= fasthttp.StatusInternalServerError:
+		return "failed"
+	default:
+		return "answered"
+	}
+}
