Refuse announcements, records and bounds with fields out of range

Bodies nested a million deep, numbers out of range of their type and port 99999 were refused already, and no process ended.

Cause: an announcement with port 0, an unspecified or multicast address, a cold time or a start time out of range was taken. Born or sequence at their largest value were the newest for ever: every announcement of the upstream after it was outdated, until the node was restarted. Numbers of seconds that overflow a duration gave another result on x86-64 than on arm64.

Change: limits on all of these. An announcement that is plausible but not the upstream's own holds for its lease: when that has run out, the order of starts and sequence numbers no longer shuts another one out.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -185,6 +185,9 @@
 // keepAliveFraction is the fraction of the server's Keep-Alive timeout for which an idle connection is reused.
 const keepAliveFraction = 0.7
 
+// maxKeepAliveSeconds is the longest timeout of a Keep-Alive header that is followed; a longer one is no limit.
+const maxKeepAliveSeconds = 1e6
+
 // keepAliveTimeout returns how long the connection may be idle according to the Keep-Alive header of the response, or
 // zero if the header gives no timeout.
 func keepAliveTimeout(resp *fasthttp.Response) time.Duration {
@@ -193,7 +196,7 @@
 		if !ok {
 			continue
 		}
-		if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
 			return time.Duration(keepAliveFraction * seconds * float64(time.Second))
 		}
 	}
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"net/netip"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -123,6 +125,9 @@
 	if p.Kind < KindPing || p.Kind > KindLoad || (p.Kind == KindLoad) != (p.Load != nil) || p.Sender == "" {
 		return nil, fmt.Errorf("%w: invalid packet of kind %d from %q", ErrMalformed, p.Kind, p.Sender)
 	}
+	if p.Load != nil && !isValidLoad(p.Load) {
+		return nil, fmt.Errorf("%w: invalid load of %q", ErrMalformed, p.Sender)
+	}
 	for i := range p.Members {
 		if !isValidRecord(&p.Members[i]) {
 			return nil, fmt.Errorf("%w: invalid record of member %q", ErrMalformed, p.Members[i].Name)
@@ -131,11 +136,39 @@
 	return &p, nil
 }
 
-// isValidRecord reports whether a record from another node has a name, a known status, no negative number
-// of slots and valid addresses.
+// Limits of the fields of records and loads from other nodes.
+const (
+	// maxVersion limits incarnations and sequence numbers. It leaves room to refute a record.
+	maxVersion = 1 << 62
+	maxSlots   = 1 << 20
+	maxCount   = math.MaxInt32
+	maxPercent = 100
+)
+
+// isValidRecord reports whether a record from another node has a name, a known status, addresses of a host, and numbers
+// within their limits.
 func isValidRecord(m *Member) bool {
-	if m.Name == "" || m.Status > StatusLeft || m.Slots < 0 {
+	if m.Name == "" || m.Status > StatusLeft || !isWithin(m.Slots, maxSlots) {
+		return false
+	}
+	if m.Incarnation > maxVersion || m.Sequence > maxVersion {
 		return false
 	}
-	return m.Control.IsValid() && m.Peer.IsValid()
+	return isHostAddress(m.Control) && isHostAddress(m.Peer)
+}
+
+func isHostAddress(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified()
+}
+
+// isValidLoad reports whether the numbers of a load from another node are within their limits.
+func isValidLoad(load *Load) bool {
+	return isWithin(load.Queued, maxCount) && isWithin(load.Running, maxCount) && isWithin(load.Slots, maxSlots) &&
+		isWithin(load.SlowdownPercent, maxCount) && isWithin(load.BestSlotsPercent, maxPercent) &&
+		isWithin(load.StartDelayMillis, maxCount)
+}
+
+// isWithin reports whether the value is from 0 to limit.
+func isWithin(value, limit int) bool {
+	return value >= 0 && value <= limit
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -19,6 +19,14 @@
 // MaxSlots is the largest number of slots that an upstream can announce.
 const MaxSlots = 10000
 
+// Limits of an announcement's other fields.
+const (
+	// maxClockSkew is how far in the future of the node's clock an upstream's process can have been born.
+	maxClockSkew = time.Hour
+	maxCold      = 24 * time.Hour
+	maxSequence  = 1 << 48
+)
+
 // The errors of Announce.
 var (
 	// ErrInvalid is wrapped by the error for an announcement with an invalid field.
@@ -63,7 +71,7 @@
 // Announce stores an announcement, or renews its lease, and returns the lease. A process that MarkLeaving has named stays
 // draining. The error wraps ErrInvalid or ErrOutdated.
 func (r *Registrar) Announce(a announcer.Announcement) (announcer.Lease, error) {
-	if err := validate(a); err != nil {
+	if err := r.validate(a); err != nil {
 		return announcer.Lease{}, err
 	}
 	r.notifyMu.Lock()
@@ -94,17 +102,19 @@
 
 // checkOrder returns an error for an outdated announcement: one of a process that started before the current
 // one, one that arrives after a later announcement of the same process, or one that declares a process ready
-// that is already shutting down. It is called with mu held.
+// that is already shutting down. Once the current lease has run out, another process or an earlier announcement is taken, so
+// that one that was never the upstream's own shuts it out for no longer. It is called with mu held.
 func (r *Registrar) checkOrder(a announcer.Announcement) error {
 	if !isNumbered(a) || !isNumbered(r.current) {
 		return nil
 	}
+	hasLease := r.clock.Now().Before(r.expiresAt)
 	switch {
-	case a.Born < r.current.Born:
+	case hasLease && a.Born < r.current.Born:
 		return fmt.Errorf("%w: instance %s was born before %s", ErrOutdated, a.Instance, r.current.Instance)
-	case a.Born > r.current.Born || a.Instance != r.current.Instance:
+	case a.Born != r.current.Born || a.Instance != r.current.Instance:
 		return nil
-	case a.Sequence < r.current.Sequence:
+	case hasLease && a.Sequence < r.current.Sequence:
 		return fmt.Errorf("%w: announcement %d after %d", ErrOutdated, a.Sequence, r.current.Sequence)
 	case r.isLeaving && a.State == announcer.StateReady:
 		return fmt.Errorf("%w: instance %s has said that it goes", ErrOutdated, a.Instance)
@@ -235,10 +245,19 @@
 	return current
 }
 
-// validate checks the address, the service, the slots and the state. The error wraps ErrInvalid.
-func validate(a announcer.Announcement) error {
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return fmt.Errorf("%w: address: %q: want an IP and port", ErrInvalid, a.Address)
+// validate checks the fields. The error wraps ErrInvalid.
+func (r *Registrar) validate(a announcer.Announcement) error {
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || !isUnicast(address) {
+		return fmt.Errorf("%w: address: %q: want the IP and port of a host", ErrInvalid, a.Address)
+	}
+	if latest := r.clock.Now().Add(maxClockSkew).UnixMilli(); a.Born < 0 || a.Born > latest {
+		return fmt.Errorf("%w: born: %d: want 0 to %d", ErrInvalid, a.Born, latest)
+	}
+	if a.Sequence > maxSequence {
+		return fmt.Errorf("%w: sequence: %d: want at most %d", ErrInvalid, a.Sequence, uint64(maxSequence))
+	}
+	if a.Cold < 0 || a.Cold > maxCold {
+		return fmt.Errorf("%w: cold: %s: want 0s to %s", ErrInvalid, a.Cold, maxCold)
 	}
 	if a.Service == "" {
 		return fmt.Errorf("%w: service: want a name", ErrInvalid)
@@ -251,3 +270,8 @@
 	}
 	return nil
 }
+
+// isUnicast reports whether the address can be that of one upstream.
+func isUnicast(address netip.AddrPort) bool {
+	return address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
+}
