Keep no conditions of an upstream with the answer of a keyed request

The answer that is kept for an idempotency key was replayed, minutes later and by any entry, with the rate limit or the notice of leaving that the upstream had named at the time. That entry doesn't know the condition and its own requests do not tell of it.

Change: the kept answer has no such headers; the first answer goes on to its caller unchanged.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -51,16 +51,23 @@
 	IsRunning(claimant string) bool
 }
 
+// Interpreter changes the headers of an upstream's answer.
+type Interpreter interface {
+	// RemoveConditions removes the headers with the upstream's conditions, which hold only while it names them.
+	RemoveConditions(header *fasthttp.ResponseHeader)
+}
+
 // Claimer claims keys on behalf of one entry node. It is safe for concurrent use.
 type Claimer struct {
-	clock   timekeeper.Clock
-	client  OwnerClient
-	members Members
+	clock       timekeeper.Clock
+	client      OwnerClient
+	interpreter Interpreter
+	members     Members
 }
 
 // New returns a claimer that reaches the owners through client.
-func New(clock timekeeper.Clock, client OwnerClient, members Members) *Claimer {
-	return &Claimer{clock: clock, client: client, members: members}
+func New(clock timekeeper.Clock, client OwnerClient, members Members, i Interpreter) *Claimer {
+	return &Claimer{clock: clock, client: client, members: members, interpreter: i}
 }
 
 // ownersOf returns the owners of the key by rendezvous hashing (highest random weight; Thaler and Ravishankar,
@@ -219,7 +226,7 @@
 	}
 	settlement := Settlement{Claim: claim, State: StateUnknown}
 	if refusal == nil {
-		if encoded := carrier.EncodeResponse(resp); len(encoded) <= maxAnswerBytes {
+		if encoded := c.encodeAnswer(resp); len(encoded) <= maxAnswerBytes {
 			settlement.State = StateAnswered
 			settlement.Answer = encoded
 		}
@@ -231,6 +238,15 @@
 	return refusal
 }
 
+// encodeAnswer returns the answer as it is kept: without what it says of the upstream's present state.
+func (c *Claimer) encodeAnswer(resp *fasthttp.Response) []byte {
+	kept := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(kept)
+	resp.CopyTo(kept)
+	c.interpreter.RemoveConditions(&kept.Header)
+	return carrier.EncodeResponse(kept)
+}
+
 // releaseAtOwners gives up the claim at all owners. An owner that can't be reached keeps the claim.
 func (c *Claimer) releaseAtOwners(owners []gossiper.Member, claim Claim) {
 	c.forEachOwner(owners, func(ctx context.Context, owner gossiper.Member) {
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -121,6 +121,12 @@
 	return answer
 }
 
+// RemoveConditions removes the headers with an upstream's conditions.
+func (Native) RemoveConditions(header *fasthttp.ResponseHeader) {
+	header.Del(HeaderRateLimit)
+	header.Del(HeaderLeaving)
+}
+
 // FormatRetryAfter returns the value of a Retry-After header: whole seconds, rounded up (RFC 9110, section 10.2.3).
 func (Native) FormatRetryAfter(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -244,7 +244,7 @@
 	n.upstream.observer = n.executor
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Caller:          n.service,
-		Claims:          claimer.New(n.clock, peers, n),
+		Claims:          claimer.New(n.clock, peers, n, n.interpreter),
 		Clock:           n.clock,
 		Conditions:      conditionkeeper.New(n.clock),
 		OnNestedFailure: n.executor.RecordNestedFailure,
--- a/internal/relayer/options.go
+++ b/internal/relayer/options.go
@@ -16,6 +16,7 @@
 	FormatRetryAfter(d time.Duration) string
 	ReadAnswer(header *fasthttp.ResponseHeader) interpreter.Answer
 	ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error)
+	RemoveConditions(header *fasthttp.ResponseHeader)
 	WriteHop(header *fasthttp.RequestHeader, hop interpreter.Hop)
 }
 
