--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,21 +52,6 @@
 	ShortMaxBody = 64 << 10
 )
 
-// Limits on reading a response, and body lengths as the HTTP library reports them.
-const (
-	// maxForeignResponses limits how many responses are read to find the one that belongs to the request.
-	maxForeignResponses = 3
-	// maxInterimResponses limits the headers that are read for one response, interim (1xx) responses included.
-	maxInterimResponses = 8
-	// maxOverhead plus twice the body limit is the limit, in bytes, on all that is read for a request. It leaves room
-	// for the body, the header, and the framing of a chunked body unless the framing is longer than the body.
-	maxOverhead = 1 << 20
-	// chunkedLength is the reported length of a chunked body.
-	chunkedLength = -1
-	// noLength is the reported length of a body that ends with the stream.
-	noLength = -2
-)
-
 // Pool keeps connections to one address for reuse. It is safe for concurrent use.
 type Pool struct {
 	address        netip.AddrPort
@@ -182,27 +165,6 @@
 	return nil
 }
 
-// keepAliveFraction is the fraction of the server's Keep-Alive timeout for which an idle connection is reused.
-const keepAliveFraction = 0.7
-
-// maxKeepAliveSeconds is the longest timeout of a Keep-Alive header that is followed; a longer one is no limit.
-const maxKeepAliveSeconds = 1e6
-
-// keepAliveTimeout returns how long the connection may be idle according to the Keep-Alive header of the response, or
-// zero if the header gives no timeout.
-func keepAliveTimeout(resp *fasthttp.Response) time.Duration {
-	for parameter := range strings.SplitSeq(string(resp.Header.Peek(fasthttp.HeaderKeepAlive)), ",") {
-		text, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
-		if !ok {
-			continue
-		}
-		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
-			return time.Duration(keepAliveFraction * seconds * float64(time.Second))
-		}
-	}
-	return 0
-}
-
 func (p *Pool) roundTrip(c *conn, x *Exchange, now time.Time) error {
 	c.limited.remaining = 2*p.maxBody + maxOverhead
 	if err := c.SetDeadline(x.Deadline); err != nil {
@@ -220,93 +182,6 @@
 	return p.readMatchingResponse(c, x)
 }
 
-// readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if a rejected response closes the
-// connection, or after maxForeignResponses rejected responses.
-func (p *Pool) readMatchingResponse(c *conn, x *Exchange) error {
-	for range maxForeignResponses {
-		if err := p.readResponse(c, x); err != nil {
-			return err
-		}
-		if (x.Accept == nil || x.Accept(&x.Response.Header)) && !c.isUnproven(x) {
-			return nil
-		}
-		if x.Response.ConnectionClose() {
-			return ErrForeign
-		}
-		x.Response.Reset()
-	}
-	return ErrForeign
-}
-
-// readResponse reads one whole response: header, body and trailer. Without AcceptNoLength, a body that ends with the
-// stream is an error, because a truncated body could not be detected.
-func (p *Pool) readResponse(c *conn, x *Exchange) error {
-	header := &x.Response.Header
-	if err := readFinalHeader(c, header); err != nil {
-		return err
-	}
-	x.Response.SkipBody = x.Request.Header.IsHead() || hasNoBody(header.StatusCode())
-	if x.Response.SkipBody {
-		return nil
-	}
-	contentLength := header.ContentLength()
-	if contentLength == noLength && !p.acceptNoLength {
-		return ErrNoLength
-	}
-	if err := x.Response.ReadBody(c.reader, p.maxBody); err != nil {
-		return err
-	}
-	if contentLength == chunkedLength {
-		return header.ReadTrailer(c.reader)
-	}
-	return nil
-}
-
-// readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
-func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
-	for range maxInterimResponses {
-		if err := header.Read(c.reader); err != nil {
-			return err
-		}
-		if header.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return ErrTooLong
-}
-
-// hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
-func hasNoBody(status int) bool {
-	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
-// awaitFirstByte waits for the first byte of the response and calls OnOverdue each time that it is late. It stops
-// waiting, without an error, when the next call would be due at the deadline or later.
-func (p *Pool) awaitFirstByte(c *conn, x *Exchange, now time.Time) error {
-	if x.ExpectedFirstByte <= 0 || x.OnOverdue == nil {
-		return nil
-	}
-	wait := x.ExpectedFirstByte
-	for now.Add(wait).Before(x.Deadline) {
-		if err := c.SetReadDeadline(now.Add(wait)); err != nil {
-			return err
-		}
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			break
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-		wait = x.OnOverdue()
-		if wait <= 0 {
-			return ErrOverdue
-		}
-		now = p.clock.Now()
-	}
-	return c.SetReadDeadline(x.Deadline)
-}
-
 // classify wraps an error of an exchange in the sentinel error for it, with the pool's address.
 func (p *Pool) classify(ctx context.Context, err error) error {
 	var small *fasthttp.ErrSmallBuffer
@@ -324,100 +199,6 @@
 	}
 }
 
-// acquire returns a reusable idle connection or dials a new one. It closes idle connections that can't be reused.
-func (p *Pool) acquire(now time.Time, x *Exchange) (*conn, error) {
-	if c := p.acquireIdle(now, x); c != nil {
-		return c, nil
-	}
-	timeout := min(DefaultDialTimeout, x.Deadline.Sub(now))
-	raw, err := p.dial(p.address, timeout)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(raw, now), nil
-}
-
-// acquireIdle returns a reusable idle connection, or nil. It closes idle connections that can't be reused, and keeps those
-// on which a request with the same id has failed.
-func (p *Pool) acquireIdle(now time.Time, x *Exchange) *conn {
-	var passedOver []*conn
-	defer func() { p.keep(passedOver...) }()
-	for !x.NewConnection {
-		c := p.popIdle()
-		switch {
-		case c == nil:
-			return nil
-		case !p.isReusable(c, now, x.MaxIdle):
-			_ = c.Close()
-		case c.hasFailed(x.ID):
-			passedOver = append(passedOver, c)
-		default:
-			return c
-		}
-	}
-	return nil
-}
-
-// isReusable reports whether an idle connection is within its limits of age and idle time and has no unread input.
-func (p *Pool) isReusable(c *conn, now time.Time, maxIdle time.Duration) bool {
-	if maxIdle == 0 {
-		maxIdle = p.maxIdleTime
-	}
-	if c.keepAlive > 0 {
-		maxIdle = min(maxIdle, c.keepAlive)
-	}
-	if now.Sub(c.opened) > p.maxAge || now.Sub(c.lastUsed) > maxIdle {
-		return false
-	}
-	return c.isClean()
-}
-
-// popIdle removes and returns the idle connection that was released last, or nil.
-func (p *Pool) popIdle() *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
-	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
-}
-
-// release keeps c for reuse, or closes it if the pool is closed or full.
-func (p *Pool) release(c *conn) {
-	c.lastUsed = p.clock.Now()
-	p.keep(c)
-}
-
-// keep adds the connections to the idle ones, or closes them if the pool is closed or full.
-func (p *Pool) keep(conns ...*conn) {
-	for _, c := range conns {
-		p.mu.Lock()
-		kept := !p.closed && len(p.idle) < DefaultMaxIdle
-		if kept {
-			p.idle = append(p.idle, c)
-		}
-		p.mu.Unlock()
-		if !kept {
-			_ = c.Close()
-		}
-	}
-}
-
-// CloseIdle closes the idle connections. The pool stays usable.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
-}
-
 // Close closes the idle connections. Connections in use are closed after their exchange instead of being kept.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/forwarder/response.go
@@ -0,0 +1,111 @@
+package forwarder
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits on reading a response, and body lengths as the HTTP library reports them.
+const (
+	// maxForeignResponses limits how many responses are read to find the one that belongs to the request.
+	maxForeignResponses = 3
+	// maxInterimResponses limits the headers that are read for one response, interim (1xx) responses included.
+	maxInterimResponses = 8
+	// maxOverhead plus twice the body limit is the limit, in bytes, on all that is read for a request. It leaves room
+	// for the body, the header, and the framing of a chunked body unless the framing is longer than the body.
+	maxOverhead = 1 << 20
+	// chunkedLength is the reported length of a chunked body.
+	chunkedLength = -1
+	// noLength is the reported length of a body that ends with the stream.
+	noLength = -2
+)
+
+// readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if a rejected response closes the
+// connection, or after maxForeignResponses rejected responses.
+func (p *Pool) readMatchingResponse(c *conn, x *Exchange) error {
+	for range maxForeignResponses {
+		if err := p.readResponse(c, x); err != nil {
+			return err
+		}
+		if (x.Accept == nil || x.Accept(&x.Response.Header)) && !c.isUnproven(x) {
+			return nil
+		}
+		if x.Response.ConnectionClose() {
+			return ErrForeign
+		}
+		x.Response.Reset()
+	}
+	return ErrForeign
+}
+
+// readResponse reads one whole response: header, body and trailer. Without AcceptNoLength, a body that ends with the
+// stream is an error, because a truncated body could not be detected.
+func (p *Pool) readResponse(c *conn, x *Exchange) error {
+	header := &x.Response.Header
+	if err := readFinalHeader(c, header); err != nil {
+		return err
+	}
+	x.Response.SkipBody = x.Request.Header.IsHead() || hasNoBody(header.StatusCode())
+	if x.Response.SkipBody {
+		return nil
+	}
+	contentLength := header.ContentLength()
+	if contentLength == noLength && !p.acceptNoLength {
+		return ErrNoLength
+	}
+	if err := x.Response.ReadBody(c.reader, p.maxBody); err != nil {
+		return err
+	}
+	if contentLength == chunkedLength {
+		return header.ReadTrailer(c.reader)
+	}
+	return nil
+}
+
+// readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
+func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses {
+		if err := header.Read(c.reader); err != nil {
+			return err
+		}
+		if header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return ErrTooLong
+}
+
+// hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
+func hasNoBody(status int) bool {
+	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// awaitFirstByte waits for the first byte of the response and calls OnOverdue each time that it is late. It stops
+// waiting, without an error, when the next call would be due at the deadline or later.
+func (p *Pool) awaitFirstByte(c *conn, x *Exchange, now time.Time) error {
+	if x.ExpectedFirstByte <= 0 || x.OnOverdue == nil {
+		return nil
+	}
+	wait := x.ExpectedFirstByte
+	for now.Add(wait).Before(x.Deadline) {
+		if err := c.SetReadDeadline(now.Add(wait)); err != nil {
+			return err
+		}
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		wait = x.OnOverdue()
+		if wait <= 0 {
+			return ErrOverdue
+		}
+		now = p.clock.Now()
+	}
+	return c.SetReadDeadline(x.Deadline)
+}
