--- a/internal/executor/status.go
+++ b/internal/executor/status.go
@@ -16,6 +16,10 @@
 	Load         carrier.Load           `json:"load"`
 	// RateLimit is the rate limit that the upstream has named, in requests per second; zero if there is none.
 	RateLimit float64 `json:"rate-limit,omitempty"`
+	// RateLimitUse is the fraction of what the upstream was promised that the present window uses; zero without a limit.
+	RateLimitUse float64 `json:"rate-limit-use,omitempty"`
+	// Leaving is true if the upstream has named itself leaving.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Status returns a snapshot of the executor.
@@ -24,7 +28,7 @@
 	defer e.mu.Unlock()
 	return Status{
 		Announcement: e.announcement, FailureRate: e.limit.FailureRate(), Limit: e.limit.Limit(), Load: e.currentLoad(),
-		RateLimit: e.schedule.RateLimit(),
+		RateLimit: e.schedule.RateLimit(), RateLimitUse: e.schedule.RateLimitUse(e.Clock.Now()), Leaving: e.conditions.leaving,
 	}
 }
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -145,6 +145,19 @@
 	p.sent[p.newest%windowSpans]++
 }
 
+// WindowUse returns the fraction of the promise that the window ending now uses; zero without a limit.
+func (p *Pacer) WindowUse(now time.Time) float64 {
+	if !p.IsLimited() {
+		return 0
+	}
+	p.advance(now)
+	sent := 0
+	for number := p.newest; number > p.newest-windowSpans && number >= max(0, p.countedFrom); number-- {
+		sent += p.sent[number%windowSpans]
+	}
+	return float64(sent) / p.promise()
+}
+
 // Interval returns the time between two requests at the limit; zero without a limit.
 func (p *Pacer) Interval() time.Duration {
 	if !p.IsLimited() {
@@ -158,9 +171,14 @@
 	return min(burstTime, seconds(burstTime.Seconds()*p.perSecond*p.Interval().Seconds()))
 }
 
+// promise returns how many requests the upstream may get in one window.
+func (p *Pacer) promise() float64 {
+	return excess*p.perSecond*Window.Seconds() + slack
+}
+
 // windowLimit returns how many requests are sent in one window at most.
 func (p *Pacer) windowLimit() int {
-	return int(windowFraction * (excess*p.perSecond*Window.Seconds() + slack))
+	return int(windowFraction * p.promise())
 }
 
 // windowOpens returns when the window that ends then has room for one more request. It can lie in the past.
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -127,3 +127,20 @@
 		t.Errorf("the next request is sent after %s", next)
 	}
 }
+
+// TestWindowUseTellsMargin covers the figure that shows how near an upstream comes to its promise.
+func TestWindowUseTellsMargin(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(now, testSettleTime)
+	p.SetLimit(now, 10)
+	now = now.Add(time.Second)
+	for range 13 {
+		p.Count(now)
+	}
+	if got, want := p.WindowUse(now), 13.0/65; got != want {
+		t.Errorf("a use of %g, want %g", got, want)
+	}
+	if got := p.WindowUse(now.Add(Window + spanTime)); got != 0 {
+		t.Errorf("a use of %g after the window", got)
+	}
+}
--- a/internal/scheduler/ratelimit.go
+++ b/internal/scheduler/ratelimit.go
@@ -27,6 +27,11 @@
 	return s.pacer.Limit()
 }
 
+// RateLimitUse returns the fraction of what the upstream was promised that the present window uses; zero without a limit.
+func (s *Scheduler) RateLimitUse(now time.Time) float64 {
+	return s.pacer.WindowUse(now)
+}
+
 // IsThrottled reports whether the upstream's rate limit keeps a request from starting now.
 func (s *Scheduler) IsThrottled(now time.Time) bool {
 	return !s.pacer.Allows(now)
