Tell late answers of an earlier process of the upstream apart by its start

Cause: an instance may start again under its id. A late answer of the process before, with a rate limit or the notice of leaving, would have been taken as the new one's word; leaving ends only with the process.

Change: answers are attributed to the process by id and start, as it was when the request was sent.

--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -31,7 +31,9 @@
 // NamedConditions are the conditions in one response of an instance.
 type NamedConditions struct {
 	interpreter.Conditions
+	// Instance and Born identify the process as in its announcement; a Born of zero is not known.
 	Instance string
+	Born     int64
 	Kind     ResponseKind
 	// SentAt is when the request was sent.
 	SentAt time.Time
@@ -55,14 +57,14 @@
 
 // ObserveConditions records the conditions in a response of the upstream, and keeps to its rate limit from now on. An
 // upstream that names itself leaving gets no new requests until another process is announced.
-// Responses of an instance other than the current one are ignored.
+// Responses of a process other than the current one are ignored.
 func (e *Executor) ObserveConditions(named NamedConditions) {
 	e.countConditions(&named)
 	if e.recordConditions(&named) && e.OnConditions != nil {
 		e.OnConditions(named)
 	}
 	if named.Leaving {
-		e.OnUpstreamLeaving(named.Instance, 0)
+		e.OnUpstreamLeaving(named.Instance, named.Born)
 	}
 }
 
@@ -70,7 +72,8 @@
 func (e *Executor) recordConditions(named *NamedConditions) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if named.Instance != e.announcement.Instance {
+	process := announcer.Announcement{Instance: named.Instance, Born: named.Born}
+	if !process.IsSameProcess(e.announcement) {
 		return false
 	}
 	now := e.Clock.Now()
--- a/internal/executor/conditions_test.go
+++ b/internal/executor/conditions_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"testing"
@@ -18,12 +19,14 @@
 type rateLimitScript struct {
 	Name      string `json:"name"`
 	Responses []struct {
-		// Born, if not zero, announces a process that was born then, instead of a response.
+		// Announced, if not zero, announces a process that was born then, instead of a response.
+		Announced int64 `json:"announced"`
+		// Born is when the answering process was born; zero means that it is not known.
 		Born int64        `json:"born"`
 		Kind ResponseKind `json:"kind"`
 		// Limit is the text in the header; nil means none.
 		Limit *string `json:"limit"`
-		// Instance is the instance that answers; empty means the current one.
+		// Instance is the instance that answers or is announced; empty means the current one.
 		Instance string `json:"instance"`
 		// Sent is when the request was sent, since the start; zero means just before the response.
 		Sent validator.Duration `json:"sent"`
@@ -52,15 +55,12 @@
 	started := time.Now()
 	for i, response := range s.Responses {
 		time.Sleep(time.Second)
-		if response.Born != 0 {
+		if response.Announced != 0 {
 			m.HandleAnnouncement(announcer.Announcement{
-				Born: response.Born, Instance: m.name + "-new", Service: testService, Slots: testSlots, State: announcer.StateReady,
+				Born: response.Announced, Instance: cmp.Or(response.Instance, m.name), Service: testService, Slots: testSlots, State: announcer.StateReady,
 			})
 		} else {
-			named := NamedConditions{Instance: m.name, Kind: response.Kind, SentAt: time.Now().Add(-10 * time.Millisecond)}
-			if response.Instance != "" {
-				named.Instance = response.Instance
-			}
+			named := NamedConditions{Instance: cmp.Or(response.Instance, m.name), Born: response.Born, Kind: response.Kind, SentAt: time.Now().Add(-10 * time.Millisecond)}
 			if response.Sent != 0 {
 				named.SentAt = started.Add(response.Sent.Std())
 			}
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -33,6 +33,7 @@
 
 	mu       sync.Mutex
 	address  netip.AddrPort
+	born     int64
 	instance string
 	pool     *forwarder.Pool
 }
@@ -58,6 +59,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.born = a.Born
 	if u.pool != nil && u.address == address && u.instance == a.Instance {
 		return
 	}
@@ -77,14 +79,27 @@
 	return u.pool, u.address, u.instance
 }
 
+// sentRequest is when a request was sent to which process of the upstream.
+type sentRequest struct {
+	at       time.Time
+	born     int64
+	instance string
+}
+
+// beginRequest returns the connection pool for a request that is sent now, which is nil before the first announcement.
+func (u *localUpstream) beginRequest() (*forwarder.Pool, sentRequest) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.pool, sentRequest{at: u.clock.Now(), born: u.born, instance: u.instance}
+}
+
 // maxUnsafeIdle is how long a connection may have been idle to carry a request that must run at most once: the
 // upstream may be about to close one that was idle for longer.
 const maxUnsafeIdle = time.Second
 
 // Do implements executor.Upstream.
 func (u *localUpstream) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	pool, _, instance := u.current()
-	sentAt := u.clock.Now()
+	pool, sending := u.beginRequest()
 	if pool == nil {
 		return forwarder.ErrNotSent
 	}
@@ -107,7 +122,7 @@
 	if err := pool.Do(ctx, x); err != nil {
 		return err
 	}
-	return u.checkAnswer(resp, instance, sentAt)
+	return u.checkAnswer(resp, sending)
 }
 
 // rejectionOf returns whether the answer states that the request with the id was not run.
@@ -122,10 +137,9 @@
 	}
 }
 
-// checkAnswer reads what the instance reports in the headers of its answer to a request that was sent at the given
-// time, and removes the headers that concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
+// checkAnswer reads what the upstream reports in the headers of its answer to a request, and removes the headers that concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
 // the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
-func (u *localUpstream) checkAnswer(resp *fasthttp.Response, instance string, sentAt time.Time) error {
+func (u *localUpstream) checkAnswer(resp *fasthttp.Response, request sentRequest) error {
 	answer := u.interpreter.ReadAnswer(&resp.Header)
 	if answer.HasLoad {
 		u.observer.UpdateLoad(answer.Load)
@@ -133,7 +147,9 @@
 	if answer.NotRun && resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		return executor.ErrMisdirected
 	}
-	named := executor.NamedConditions{Conditions: answer.Conditions, Instance: instance, Kind: executor.ResponseAnswer, SentAt: sentAt}
+	named := executor.NamedConditions{
+		Conditions: answer.Conditions, Instance: request.instance, Born: request.born, Kind: executor.ResponseAnswer, SentAt: request.at,
+	}
 	switch {
 	case answer.NotRun:
 		named.Kind = executor.ResponseNotRun
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -241,11 +241,11 @@
 
 // Do implements executor.Upstream.
 func (v *virtualNode) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	sentAt := time.Now()
+	_, sending := v.upstream.beginRequest()
 	if err := v.deployment.upstream(ctx, v, req, resp, deadline); err != nil {
 		return err
 	}
-	return v.upstream.checkAnswer(resp, v.instance, sentAt)
+	return v.upstream.checkAnswer(resp, sending)
 }
 
 // ProbeLoad implements executor.LoadProber.
