--- a/internal/relayer/conditions_test.go
+++ b/internal/relayer/conditions_test.go
@@ -35,24 +35,30 @@
 type conditionScenario struct {
 	Seed   uint64             `json:"seed"`
 	Length validator.Duration `json:"length"`
-	Kinds  []struct {
-		requestKind
-		// MinServed is the fraction of the requests that must be answered, and MinInTime that within Target.
-		MinServed float64            `json:"min-served"`
-		MinInTime float64            `json:"min-in-time"`
-		Target    validator.Duration `json:"target"`
-	} `json:"kinds"`
-	Limits []namedLimit `json:"limits"`
+	Kinds  []conditionKind    `json:"kinds"`
+	Limits []namedLimit       `json:"limits"`
 	// Leaving are the upstreams that name themselves leaving from a time on, while they announce that they are ready.
-	Leaving []struct {
-		Node string             `json:"node"`
-		From validator.Duration `json:"from"`
-	} `json:"leaving"`
+	Leaving []nodeEvent `json:"leaving"`
 	// Restarts are restarts of nodes. The upstreams beside them go on.
-	Restarts []struct {
-		Node string             `json:"node"`
-		At   validator.Duration `json:"at"`
-	} `json:"restarts"`
+	Restarts []nodeEvent `json:"restarts"`
+}
+
+// conditionKind is a kind of request of the scenario.
+type conditionKind struct {
+	requestKind
+	// From and To, if To is set, limit the time in which requests of the kind are sent.
+	From validator.Duration `json:"from"`
+	To   validator.Duration `json:"to"`
+	// MinServed is the fraction of the requests that must be answered, and MinInTime that within Target.
+	MinServed float64            `json:"min-served"`
+	MinInTime float64            `json:"min-in-time"`
+	Target    validator.Duration `json:"target"`
+}
+
+// nodeEvent is what happens to a node, or to the upstream beside it, at a time.
+type nodeEvent struct {
+	Node string             `json:"node"`
+	At   validator.Duration `json:"at"`
 }
 
 // namedLimit is a rate limit that the upstream beside Node names in its answers for a time. Value is its text in the
@@ -92,6 +98,8 @@
 	limitDelivered map[delivery]time.Duration
 	// leavingDelivered is when an entry node first delivered an answer of a leaving upstream.
 	leavingDelivered map[delivery]time.Duration
+	// leavingAnswers is the number of answers of leaving upstreams that callers got.
+	leavingAnswers int
 	// sentAt is when each request was sent, by its ID.
 	sentAt map[string]time.Duration
 	// sent, served and inTime count the requests of each kind: all, those answered, and those answered within the target.
@@ -102,13 +110,20 @@
 const headerTestInstance = "Test-Instance"
 
 func runConditions(t *testing.T, name string) *conditionRun {
+	t.Helper()
+	var scenario conditionScenario
+	readScenario(t, "testdata/conditions/"+name+".json", &scenario)
+	return scenario.run(t)
+}
+
+func (s *conditionScenario) run(t *testing.T) *conditionRun {
 	t.Helper()
 	r := &conditionRun{
+		scenario: *s,
 		arrivals: make(map[string][]upstreamArrival), limitDelivered: make(map[delivery]time.Duration),
 		leavingDelivered: make(map[delivery]time.Duration), sentAt: make(map[string]time.Duration),
 		sent: make(map[string]int), served: make(map[string]int), inTime: make(map[string]int),
 	}
-	readScenario(t, "testdata/conditions/"+name+".json", &r.scenario)
 	synctest.Test(t, func(t *testing.T) {
 		r.virtualDeployment = newVirtualDeployment(t)
 		r.random = &lockedRand{random: rand.New(rand.NewPCG(r.scenario.Seed, 0))}
@@ -138,7 +153,12 @@
 	}
 	for _, kind := range r.scenario.Kinds {
 		load.Go(func() {
-			for i := 0; time.Since(r.started) < r.scenario.Length.Std(); i++ {
+			end := r.scenario.Length.Std()
+			if kind.To > 0 {
+				end = kind.To.Std()
+			}
+			time.Sleep(kind.From.Std())
+			for i := 0; time.Since(r.started) < end; i++ {
 				time.Sleep(r.random.exponential(time.Duration(float64(time.Second) / kind.Rate)))
 				entry := r.names[i%len(r.names)]
 				load.Go(func() {
@@ -192,6 +212,9 @@
 	}
 	r.recordDelivery(entry, resp, interpreter.HeaderRateLimit, r.limitDelivered)
 	r.recordDelivery(entry, resp, interpreter.HeaderLeaving, r.leavingDelivered)
+	if len(resp.Header.Peek(interpreter.HeaderLeaving)) > 0 {
+		r.leavingAnswers++
+	}
 }
 
 // recordDelivery records that the entry node has delivered an answer, if it is the instance's first one with the header. It
@@ -226,7 +249,7 @@
 		}
 	}
 	for _, leaving := range r.scenario.Leaving {
-		if leaving.Node == at.name && time.Since(r.started) >= leaving.From.Std() {
+		if leaving.Node == at.name && time.Since(r.started) >= leaving.At.Std() {
 			resp.Header.Set(interpreter.HeaderLeaving, "1")
 		}
 	}
@@ -313,7 +336,7 @@
 			t.Errorf("%s got %d requests that were sent after it had said that it leaves", instance, late)
 		}
 	}
-	if len(r.scenario.Leaving) > 0 && len(r.leavingDelivered) == 0 {
+	if len(r.scenario.Leaving) > 0 && r.leavingAnswers == 0 {
 		t.Error("no node has delivered an answer of a leaving upstream")
 	}
 }
