Stand-in upstreams name a rate limit, and leaving while they drain

The soaks of nodes and of processes cover both between real processes: a limit is one of the faults of TestSoak, and each drain names itself.

--- a/internal/relayer/soak_test.go
+++ b/internal/relayer/soak_test.go
@@ -122,10 +122,11 @@
 		"crash":     func() { s.crash(deployed, pause) },
 		"fail fast": func() { s.changeBehaviour(deployed, pause, func(b *responder.Behaviour) { b.FailFast = true }) },
 		"kill node": func() { s.killNode(deployed, pause) },
+		"limit":     func() { s.changeBehaviour(deployed, pause, func(b *responder.Behaviour) { b.RateLimit = 5 }) },
 		"silence":   func() { s.network.silence(deployed.Settings.PeerAddress, 1+s.randomInt(4)) },
 		"straggle":  func() { s.changeBehaviour(deployed, pause, func(b *responder.Behaviour) { b.StraggleFactor = 10 }) },
 	}
-	name := []string{"cut", "crash", "fail fast", "kill node", "silence", "straggle"}[s.randomInt(len(kinds))]
+	name := []string{"cut", "crash", "fail fast", "kill node", "limit", "silence", "straggle"}[s.randomInt(len(kinds))]
 	s.mu.Lock()
 	s.faults[name]++
 	s.mu.Unlock()
--- a/internal/responder/behaviour.go
+++ b/internal/responder/behaviour.go
@@ -13,6 +13,8 @@
 	HealthLie bool
 	// LoadLie makes the load endpoint report that the upstream is idle.
 	LoadLie bool
+	// RateLimit is the rate limit that the upstream names in its answers, in requests per second; zero for none.
+	RateLimit float64
 	// ServiceTime is the mean service time. Service times are exponentially distributed unless Steady is set.
 	ServiceTime time.Duration
 	// Slots is the number of requests that run concurrently. Further ones wait inside the upstream.
@@ -28,6 +30,7 @@
 	FailFast       bool    `json:"fail-fast"`
 	HealthLie      bool    `json:"health-lie"`
 	LoadLie        bool    `json:"load-lie"`
+	RateLimit      float64 `json:"rate-limit"`
 	ServiceTime    string  `json:"service-time"`
 	Slots          int     `json:"slots"`
 	Steady         bool    `json:"steady"`
@@ -37,7 +40,7 @@
 // MarshalJSON implements json.Marshaler.
 func (b Behaviour) MarshalJSON() ([]byte, error) {
 	return json.Marshal(behaviourJSON{
-		FailFast: b.FailFast, HealthLie: b.HealthLie, LoadLie: b.LoadLie, ServiceTime: b.ServiceTime.String(),
+		FailFast: b.FailFast, HealthLie: b.HealthLie, LoadLie: b.LoadLie, RateLimit: b.RateLimit, ServiceTime: b.ServiceTime.String(),
 		Slots: b.Slots, Steady: b.Steady, StraggleFactor: b.StraggleFactor,
 	})
 }
@@ -45,7 +48,7 @@
 // UnmarshalJSON implements json.Unmarshaler. Fields that are missing in data keep their values.
 func (b *Behaviour) UnmarshalJSON(data []byte) error {
 	decoded := behaviourJSON{
-		FailFast: b.FailFast, HealthLie: b.HealthLie, LoadLie: b.LoadLie, ServiceTime: b.ServiceTime.String(),
+		FailFast: b.FailFast, HealthLie: b.HealthLie, LoadLie: b.LoadLie, RateLimit: b.RateLimit, ServiceTime: b.ServiceTime.String(),
 		Slots: b.Slots, Steady: b.Steady, StraggleFactor: b.StraggleFactor,
 	}
 	if err := json.Unmarshal(data, &decoded); err != nil {
@@ -56,7 +59,7 @@
 		return err
 	}
 	*b = Behaviour{
-		FailFast: decoded.FailFast, HealthLie: decoded.HealthLie, LoadLie: decoded.LoadLie, ServiceTime: serviceTime,
+		FailFast: decoded.FailFast, HealthLie: decoded.HealthLie, LoadLie: decoded.LoadLie, RateLimit: decoded.RateLimit, ServiceTime: serviceTime,
 		Slots: decoded.Slots, Steady: decoded.Steady, StraggleFactor: decoded.StraggleFactor,
 	}
 	return nil
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/conntracker"
+	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
@@ -221,6 +222,7 @@
 }
 
 func (r *Responder) serve(ctx *fasthttp.RequestCtx) {
+	defer r.nameConditions(ctx)
 	switch string(ctx.Path()) {
 	case PathBehaviour:
 		r.serveBehaviour(ctx)
@@ -233,6 +235,16 @@
 	}
 }
 
+// nameConditions names the rate limit and whether the upstream is draining in the headers of an answer.
+func (r *Responder) nameConditions(ctx *fasthttp.RequestCtx) {
+	if limit := r.Behaviour().RateLimit; limit > 0 {
+		ctx.Response.Header.Set(interpreter.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+	if r.draining.Load() {
+		ctx.Response.Header.Set(interpreter.HeaderLeaving, "1")
+	}
+}
+
 func (r *Responder) serveBehaviour(ctx *fasthttp.RequestCtx) {
 	b := r.Behaviour()
 	if ctx.IsPost() {
