--- a/internal/executor/conditions_test.go
+++ b/internal/executor/conditions_test.go
@@ -76,3 +76,30 @@
 		}
 	}
 }
+
+// TestProbesLeaveRoomInRateLimit guards against probes before each start, which an upstream may count, beside a rate limit
+// that is half used; and against an upstream whose limit is far away that is no longer asked for its load.
+func TestProbesLeaveRoomInRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newGroup(t, 1, true, 1, 1e9, testDocument(time.Second)).members[0]
+		m.UpdateLoad(interpreter.Load{Slots: testSlots, Slowdown: 1})
+		probe := NamedConditions{
+			Conditions: interpreter.Conditions{RateLimit: interpreter.RateLimit{PerSecond: 10}}, Instance: m.name, Kind: ResponseProbe,
+		}
+		time.Sleep(time.Second)
+		m.ObserveConditions(probe)
+		if !m.needsLoadProbe() {
+			t.Error("a distant limit keeps probes away")
+		}
+		for range 33 {
+			m.ObserveConditions(probe)
+		}
+		if m.needsLoadProbe() || !m.LoadState().ProbesLimited {
+			t.Error("probes go on although they use half of the promise")
+		}
+		time.Sleep(5 * time.Second)
+		if !m.needsLoadProbe() {
+			t.Error("probes do not begin again")
+		}
+	})
+}
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -73,7 +73,7 @@
 func (e *Executor) needsLoadProbe() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.load.receivedAt.IsZero() || e.schedule.RateLimit() > 0 || e.schedule.Running() >= e.schedule.Slots() {
+	if e.load.receivedAt.IsZero() || e.limitsProbes() || e.schedule.Running() >= e.schedule.Slots() {
 		return false
 	}
 	return e.Clock.Now().Sub(e.load.receivedAt) > maxStartReportAge
@@ -102,8 +102,8 @@
 	// Queued and Running are true if requests are queued here or running at the upstream.
 	Queued  bool
 	Running bool
-	// RateLimited is true if the upstream has named a rate limit, to which probes might count.
-	RateLimited bool
+	// ProbesLimited is true if probes, which might count, would use up the upstream's rate limit.
+	ProbesLimited bool
 	// Slow is true if the upstream counts as slow.
 	Slow bool
 }
@@ -114,10 +114,18 @@
 	defer e.mu.Unlock()
 	return LoadState{
 		Age: e.Clock.Now().Sub(e.load.receivedAt), IsReported: !e.load.receivedAt.IsZero(),
-		Queued: e.schedule.Queued() > 0, RateLimited: e.schedule.RateLimit() > 0, Running: len(e.inFlight) > 0, Slow: e.isSlow(),
+		Queued: e.schedule.Queued() > 0, ProbesLimited: e.limitsProbes(), Running: len(e.inFlight) > 0, Slow: e.isSlow(),
 	}
 }
 
+// maxProbedUse is the use of the upstream's rate limit from which it is probed seldom.
+const maxProbedUse = 0.5
+
+// limitsProbes reports whether probes would use up the upstream's rate limit. It is called with mu held.
+func (e *Executor) limitsProbes() bool {
+	return e.schedule.RateLimitUse(e.Clock.Now()) >= maxProbedUse
+}
+
 // canStartPromptly reports whether a request could start at once, at the upstream's usual speed and within its rate limit. It is called with mu
 // held.
 func (e *Executor) canStartPromptly() bool {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -27,7 +27,7 @@
 	slowInterval = 50 * time.Millisecond
 	// runningInterval is the largest age of the known load while requests run at the usual speed.
 	runningInterval = 200 * time.Millisecond
-	// limitedInterval is the time between two probes of an upstream that has named a rate limit.
+	// limitedInterval is the time between two probes of an upstream whose rate limit they could use up.
 	limitedInterval = time.Second
 	// discoveryInterval is the time between two probes of an upstream that is not known to be ready, and the
 	// pause after a probe that returned no load.
@@ -194,9 +194,9 @@
 	return heldInterval
 }
 
-// rateLimitPause returns the time until an upstream that has named a rate limit can be probed again, or zero.
+// rateLimitPause returns the time until an upstream whose rate limit probes could use up can be probed again, or zero.
 func (p *Prober) rateLimitPause(load *executor.LoadState) time.Duration {
-	if !load.RateLimited {
+	if !load.ProbesLimited {
 		return 0
 	}
 	p.mu.Lock()
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -129,3 +129,41 @@
 	cancel()
 	p.ProbeLoad(ctx)
 }
+
+// TestProbesOfLimitedUpstreamAreSeldom guards against probes that use up an upstream's rate limit: between two of them lies
+// limitedInterval, however old the known load is.
+func TestProbesOfLimitedUpstreamAreSeldom(t *testing.T) {
+	p, _, counts := newTestProber(t, func() {})
+	clock := &steppedClock{now: time.Unix(1_000_000, 0)}
+	p.clock = clock
+	p.node = limitedNode{p.node}
+	for range 50 {
+		p.probeIfNeeded(t.Context())
+		clock.now = clock.now.Add(heldInterval)
+	}
+	if want := int(50 * heldInterval / limitedInterval); counts.count("probes") > want+1 {
+		t.Errorf("%d probes in %s, want at most %d", counts.count("probes"), 50*heldInterval, want+1)
+	}
+}
+
+// limitedNode is a node whose upstream is slow and has a rate limit that probes would use up.
+type limitedNode struct {
+	Node
+}
+
+func (n limitedNode) Target() Target {
+	target := n.Node.Target()
+	target.Load = executor.LoadState{Age: time.Minute, IsReported: true, ProbesLimited: true, Queued: true, Slow: true}
+	return target
+}
+
+// steppedClock is a clock that the test sets.
+type steppedClock struct {
+	now time.Time
+}
+
+func (c *steppedClock) Now() time.Time { return c.now }
+
+func (c *steppedClock) AfterFunc(d time.Duration, f func()) timekeeper.Timer {
+	return time.AfterFunc(d, f)
+}
