Log changed conditions by kind of answer, and read the keeper's order more easily

Cause: where probes name no conditions and answers do, each answer after a probe was logged as a change. The order of the told conditions was hard to read.

Change: a change is one against the last answer of the same kind; the target's own condition and the leaving upstreams of others are gathered one after the other.

--- a/internal/conditionkeeper/conditionkeeper.go
+++ b/internal/conditionkeeper/conditionkeeper.go
@@ -17,8 +17,8 @@
 	// leavingTTL is how long attempts to other nodes tell that an upstream of their service leaves. Such an upstream soon
 	// ends.
 	leavingTTL = 30 * time.Second
-	// maxLeaving limits the leaving upstreams that an attempt to another node tells of.
-	maxLeaving = 8
+	// maxTold limits the conditions that an attempt tells of.
+	maxTold = 8
 	// maxConditions limits the remembered conditions, of which there is one for each node.
 	maxConditions = 1024
 )
@@ -42,8 +42,8 @@
 	return &Keeper{clock: clock, conditions: make(map[string]keptCondition)}
 }
 
-// Record remembers a condition that the node beside an upstream of the service has told. A condition that asks for nothing ends the remembered one
-// of the same process. Conditions of a process that was born before the remembered one are ignored.
+// Record remembers a condition that the node beside an upstream of the service has told. One that asks for nothing ends
+// the remembered one. Conditions of a process that was born before the remembered one are ignored.
 func (k *Keeper) Record(service string, condition carrier.UpstreamCondition) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -89,36 +89,29 @@
 		return nil
 	}
 	now := k.clock.Now()
-	var told []keptCondition
-	for name, kept := range k.conditions {
-		age := now.Sub(kept.toldAt)
-		isOwn := name == node && age <= conditionTTL
-		if isOwn || (kept.Leaving && kept.service == service && age <= leavingTTL) {
-			told = append(told, kept)
-		}
+	var told []carrier.UpstreamCondition
+	if own, ok := k.conditions[node]; ok && now.Sub(own.toldAt) <= conditionTTL {
+		told = append(told, own.UpstreamCondition)
 	}
-	slices.SortFunc(told, func(a, b keptCondition) int {
-		if a.Node == node || b.Node == node {
-			return compareBool(b.Node == node, a.Node == node)
-		}
-		return b.toldAt.Compare(a.toldAt)
-	})
-	conditions := make([]carrier.UpstreamCondition, 0, len(told))
-	for _, kept := range told[:min(len(told), maxLeaving)] {
-		kept.Node = ""
-		conditions = append(conditions, kept.UpstreamCondition)
+	for _, kept := range k.leavingBeside(service, node, now) {
+		told = append(told, kept.UpstreamCondition)
 	}
-	return conditions
+	told = told[:min(len(told), maxTold)]
+	for i := range told {
+		told[i].Node = ""
+	}
+	return told
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
+// leavingBeside returns the leaving upstreams of the service beside other nodes, the newest first. It is called with mu
+// held.
+func (k *Keeper) leavingBeside(service, node string, now time.Time) []keptCondition {
+	var leaving []keptCondition
+	for name, kept := range k.conditions {
+		if name != node && kept.Leaving && kept.service == service && now.Sub(kept.toldAt) <= leavingTTL {
+			leaving = append(leaving, kept)
+		}
 	}
+	slices.SortFunc(leaving, func(a, b keptCondition) int { return b.toldAt.Compare(a.toldAt) })
+	return leaving
 }
--- a/internal/conditionkeeper/conditionkeeper_test.go
+++ b/internal/conditionkeeper/conditionkeeper_test.go
@@ -84,12 +84,12 @@
 		k.Record(service, carrier.UpstreamCondition{Node: node, Instance: "i-" + node, Leaving: true})
 	}
 	leaving("s", "target")
-	for i := range maxLeaving + 2 {
+	for i := range maxTold + 2 {
 		leaving("s", fmt.Sprint(i))
 	}
 	leaving("other", "x")
 	told := k.For("s", "target")
-	if len(told) != maxLeaving || told[0].Instance != "i-target" || told[1].Instance != fmt.Sprintf("i-%d", maxLeaving+1) {
+	if len(told) != maxTold || told[0].Instance != "i-target" || told[1].Instance != fmt.Sprintf("i-%d", maxTold+1) {
 		t.Errorf("%+v is told, want the target and then the newest", told)
 	}
 	for _, condition := range told {
--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -45,8 +45,8 @@
 	born int64
 	// heard is true if this node has had a response of it to a request.
 	heard bool
-	// last are the conditions in its last response.
-	last interpreter.Conditions
+	// last are the conditions in its last response of each kind.
+	last map[ResponseKind]interpreter.Conditions
 	// leaving is true if it has named itself leaving.
 	leaving bool
 	// limitedSince is when it named the rate limit that is in force; zero if there is none.
@@ -68,7 +68,7 @@
 	}
 }
 
-// recordConditions reports whether the conditions differ from those of the last response.
+// recordConditions reports whether the conditions differ from those of the last response of the same kind.
 func (e *Executor) recordConditions(named *NamedConditions) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -87,9 +87,14 @@
 		e.conditions.leaving = true
 		e.applyLimit()
 	}
-	changed = named.Conditions != e.conditions.last
-	e.conditions.last = named.Conditions
-	return changed
+	if named.Conditions == e.conditions.last[named.Kind] {
+		return false
+	}
+	if e.conditions.last == nil {
+		e.conditions.last = make(map[ResponseKind]interpreter.Conditions)
+	}
+	e.conditions.last[named.Kind] = named.Conditions
+	return true
 }
 
 // updateRateLimit applies the rate limit that the response names. A limit that can't be read changes nothing. It is
