--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -126,8 +126,8 @@
 	return e.schedule.RateLimitUse(e.Clock.Now()) >= maxProbedUse
 }
 
-// canStartPromptly reports whether a request could start at once, at the upstream's usual speed and within its rate limit. It is called with mu
-// held.
+// canStartPromptly reports whether a request could start at once, at the upstream's usual speed and within its rate
+// limit. It is called with mu held.
 func (e *Executor) canStartPromptly() bool {
 	return e.schedule.Queued() == 0 && e.schedule.Running() < e.schedule.Slots() && !e.isSlow() && !e.schedule.IsThrottled(e.Clock.Now())
 }
--- a/internal/executor/notices.go
+++ b/internal/executor/notices.go
@@ -68,8 +68,9 @@
 	})
 }
 
-// currentCondition returns the upstream's condition. Once reported full, an upstream counts as full until
-// two slots are free and its rate limit allows a burst, so that single requests at the limit cause no notices. It is called with mu held.
+// currentCondition returns the upstream's condition. Once reported full, an upstream counts as full until two slots
+// are free and its rate limit allows a burst, so that single requests at the limit cause no notices. It is called with
+// mu held.
 func (e *Executor) currentCondition() loadCondition {
 	free := e.schedule.Slots() - e.schedule.Running()
 	now := e.Clock.Now()
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -23,8 +23,8 @@
 	noLength = -2
 )
 
-// readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if a rejected response closes the
-// connection, or after maxForeignResponses rejected responses.
+// readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if
+// a rejected response closes the connection, or after maxForeignResponses rejected responses.
 func (p *Pool) readMatchingResponse(c *conn, x *Exchange) error {
 	for range maxForeignResponses {
 		if err := p.readResponse(c, x); err != nil {
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -137,8 +137,9 @@
 	}
 }
 
-// checkAnswer reads what the upstream reports in the headers of its answer to a request, and removes the headers that concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed) or that
-// the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
+// checkAnswer reads what the upstream reports in the headers of its answer to a request, and removes the headers that
+// concern only its connection. The error means that the request was not run (executor.ErrMisdirected,
+// executor.ErrShed) or that the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
 func (u *localUpstream) checkAnswer(resp *fasthttp.Response, request sentRequest) error {
 	answer := u.interpreter.ReadAnswer(&resp.Header)
 	if answer.HasLoad {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -241,7 +241,8 @@
 }
 
 // weight returns the target's weight, from minWeight to 1. It is lower if the target is slower than the median of its
-// siblings, fails or has its rate limit used up. A faster target gets no more than weight 1, so that quick failures attract no calls.
+// siblings, fails or has its rate limit used up. A faster target gets no more than weight 1, so that quick failures
+// attract no calls.
 func (t *target) weight(now time.Time, median time.Duration) float64 {
 	speed := 1.0
 	if t.latency > median && median > 0 {
