Tell processes of an upstream apart in one place

The condition of an upstream compared instance and start with a copy of Announcement.IsSameProcess. It calls that now; nothing else changes.

--- a/internal/carrier/condition.go
+++ b/internal/carrier/condition.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // UpstreamCondition is what one process of an upstream asks of its callers, as its node has last heard it. Entry nodes
@@ -25,9 +27,9 @@
 	return c.RateLimit == 0 && !c.Leaving
 }
 
-// IsOf reports whether the condition is that of the process, as far as is known.
-func (c *UpstreamCondition) IsOf(instance string, born int64) bool {
-	return c.Instance == instance && (c.Born == born || c.Born == 0 || born == 0)
+// IsOf reports whether the condition is that of the announced process, as far as is known.
+func (c *UpstreamCondition) IsOf(a announcer.Announcement) bool {
+	return a.IsSameProcess(announcer.Announcement{Instance: c.Instance, Born: c.Born})
 }
 
 // writeCondition writes the condition into the headers of a peer's response, unless it is nil.
--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -137,7 +137,7 @@
 func (e *Executor) adoptCondition(told *carrier.UpstreamCondition) (adopted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !told.IsOf(e.announcement.Instance, e.announcement.Born) {
+	if !told.IsOf(e.announcement) {
 		return false
 	}
 	if told.Leaving && !e.conditions.leaving {
@@ -167,7 +167,7 @@
 		Leaving: e.conditions.leaving,
 	}
 	isOutdated := e.conditions.heard && slices.ContainsFunc(a.Conditions, func(told carrier.UpstreamCondition) bool {
-		return told.IsOf(condition.Instance, condition.Born) && !told.IsNone()
+		return told.IsOf(e.announcement) && !told.IsNone()
 	})
 	if condition.IsNone() && !isOutdated {
 		return nil
