Read each answer once, and say in one place what was said in several

- Whether an address can be that of a host stood in the registrar, the gossiper and the settings: dialer.IsHost.
- The oldest counted span of the pacer, and whether a process has said that it leaves, were each worked out in two places.
- Tests: the accept loop of forwarder's raw servers and the set-up of the two conditions tests between sockets stand once.
One assertion is new: the counter of named conditions, which had no test.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -42,3 +42,9 @@
 func dialOnce(address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
 	return net.DialTimeout("tcp", address.String(), timeout)
 }
+
+// IsHost reports whether a process can be reached at the address by others: it has a port, and its IP is not the
+// unspecified one.
+func IsHost(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified()
+}
--- a/internal/executor/conditions_test.go
+++ b/internal/executor/conditions_test.go
@@ -94,6 +94,9 @@
 		for range 33 {
 			m.ObserveConditions(probe)
 		}
+		if got := m.Meter.ConditionCount("rate-limit", "probe"); got != 34 {
+			t.Errorf("%d responses that name a limit are counted, want 34", got)
+		}
 		if m.needsLoadProbe() || !m.LoadState().ProbesLimited {
 			t.Error("probes go on although they use half of the promise")
 		}
--- a/internal/forwarder/cut_response_test.go
+++ b/internal/forwarder/cut_response_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -22,25 +21,6 @@
 	bytewise bool
 }
 
-func (s *cutServer) serve(t *testing.T) netip.AddrPort {
-	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = socket.Close() })
-	go func() {
-		for {
-			conn, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go s.serveConn(conn)
-		}
-	}()
-	return netip.MustParseAddrPort(socket.Addr().String())
-}
-
 func (s *cutServer) serveConn(conn net.Conn) {
 	defer s.end(conn)
 	var req fasthttp.Request
@@ -89,7 +69,7 @@
 		"reset, bytewise":  {end: resetConn, bytewise: true},
 	}
 	for how, server := range servers {
-		address := server.serve(t)
+		address := serveConns(t, server.serveConn)
 		for _, accepts := range []bool{false, true} {
 			var options []Option
 			if accepts {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -17,31 +17,38 @@
 // serveRaw answers each request with the given bytes and then calls afterResponse. It returns the address and a
 // function that returns the number of accepted connections.
 func serveRaw(t *testing.T, response string, afterResponse func(net.Conn)) (netip.AddrPort, func() int) {
+	t.Helper()
+	connections := make(chan struct{}, 100)
+	address := serveConns(t, func(conn net.Conn) {
+		connections <- struct{}{}
+		var req fasthttp.Request
+		reader := bufio.NewReader(conn)
+		for req.Read(reader) == nil {
+			_, _ = conn.Write([]byte(response))
+			afterResponse(conn)
+		}
+	})
+	return address, func() int { return len(connections) }
+}
+
+// serveConns accepts connections, calls serve with each and returns the address.
+func serveConns(t *testing.T, serve func(conn net.Conn)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	connections := make(chan struct{}, 100)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			connections <- struct{}{}
-			go func() {
-				var req fasthttp.Request
-				reader := bufio.NewReader(conn)
-				for req.Read(reader) == nil {
-					_, _ = conn.Write([]byte(response))
-					afterResponse(conn)
-				}
-			}()
+			go serve(conn)
 		}
 	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), func() int { return len(connections) }
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // doRequest sends one request and accepts any response.
--- a/internal/forwarder/identity.go
+++ b/internal/forwarder/identity.go
@@ -23,7 +23,7 @@
 	if x.Rejection == nil {
 		return NoRejection
 	}
-	return x.Rejection(&x.Response.Header)
+	return x.Rejection()
 }
 
 // isUnproven reports whether the response states that a request was not run but might be a copy of an earlier one on the
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"math"
-	"net/netip"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 )
 
@@ -154,11 +154,7 @@
 	if m.Incarnation > maxVersion || m.Sequence > maxVersion {
 		return false
 	}
-	return isHostAddress(m.Control) && isHostAddress(m.Peer)
-}
-
-func isHostAddress(address netip.AddrPort) bool {
-	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified()
+	return dialer.IsHost(m.Control) && dialer.IsHost(m.Peer)
 }
 
 // isValidLoad reports whether the numbers of a load from another node are within their limits.
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -152,7 +152,7 @@
 	}
 	p.advance(now)
 	sent := 0
-	for number := p.newest; number > p.newest-windowSpans && number >= max(0, p.countedFrom); number-- {
+	for number := p.newest; number >= p.oldestCounted(); number-- {
 		sent += p.sent[number%windowSpans]
 	}
 	return float64(sent) / p.promise()
@@ -184,7 +184,7 @@
 // windowOpens returns when the window that ends then has room for one more request. It can lie in the past.
 func (p *Pacer) windowOpens() time.Time {
 	excessCount := p.reserved + 1 - p.windowLimit()
-	for number := p.newest; number > p.newest-windowSpans && number >= max(0, p.countedFrom); number-- {
+	for number := p.newest; number >= p.oldestCounted(); number-- {
 		excessCount += p.sent[number%windowSpans]
 		if excessCount > 0 {
 			return p.startedAt.Add(time.Duration(number+windowSpans) * spanTime)
@@ -193,6 +193,11 @@
 	return time.Time{}
 }
 
+// oldestCounted returns the number of the oldest span that counts towards the window ending now.
+func (p *Pacer) oldestCounted() int {
+	return max(0, p.countedFrom, p.newest-windowSpans+1)
+}
+
 // advance clears the spans that have begun since the last call.
 func (p *Pacer) advance(now time.Time) {
 	current := p.spanNumber(now)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
@@ -77,7 +78,7 @@
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	if a.State != announcer.StateGone && r.leaving.Instance != "" && a.IsSameProcess(r.leaving) {
+	if a.State != announcer.StateGone && r.hasSaidLeaving(a) {
 		a.State = announcer.StateDraining
 	}
 	if err := r.checkOrder(a); err != nil {
@@ -188,11 +189,12 @@
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	leaving := announcer.Announcement{Instance: instance, Born: max(born, r.current.Born)}
-	if !r.current.IsSameProcess(announcer.Announcement{Instance: instance, Born: born}) || r.leaving == leaving {
+	leaving := announcer.Announcement{Instance: instance, Born: born}
+	if !r.current.IsSameProcess(leaving) {
 		r.mu.Unlock()
 		return
 	}
+	leaving.Born = max(born, r.current.Born)
 	r.leaving = leaving
 	wasServing := r.current.State != announcer.StateDraining && r.current.State != announcer.StateGone
 	if wasServing {
@@ -205,12 +207,17 @@
 	}
 }
 
+// hasSaidLeaving reports whether MarkLeaving has named the announced process. It is called with mu held.
+func (r *Registrar) hasSaidLeaving(a announcer.Announcement) bool {
+	return r.leaving.Instance != "" && a.IsSameProcess(r.leaving)
+}
+
 // AddDiscovered stores an upstream that was discovered without an announcement, unless the current upstream is ready
 // or the discovered one is shutting down.
 func (r *Registrar) AddDiscovered(a announcer.Announcement) {
 	r.mu.Lock()
 	current := r.current
-	isLeaving := (r.isLeaving && current.Instance == a.Instance) || (r.leaving.Instance != "" && a.IsSameProcess(r.leaving))
+	isLeaving := (r.isLeaving && current.Instance == a.Instance) || r.hasSaidLeaving(a)
 	r.mu.Unlock()
 	if current.State == announcer.StateReady || isLeaving {
 		return
@@ -247,7 +254,7 @@
 
 // validate checks the fields. The error wraps ErrInvalid.
 func (r *Registrar) validate(a announcer.Announcement) error {
-	if address, err := netip.ParseAddrPort(a.Address); err != nil || !isUnicast(address) {
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || !dialer.IsHost(address) || address.Addr().IsMulticast() {
 		return fmt.Errorf("%w: address: %q: want the IP and port of a host", ErrInvalid, a.Address)
 	}
 	if latest := r.clock.Now().Add(maxClockSkew).UnixMilli(); a.Born < 0 || a.Born > latest {
@@ -270,8 +277,3 @@
 	}
 	return nil
 }
-
-// isUnicast reports whether the address can be that of one upstream.
-func isUnicast(address netip.AddrPort) bool {
-	return address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
-}
--- a/internal/relayer/conditionwire_test.go
+++ b/internal/relayer/conditionwire_test.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// startConditioned starts an entry node and a target node with the upstream beside it. It returns a client of the entry.
+func startConditioned(t *testing.T, upstream *conditionedUpstream) (*testCluster, *demonstrator.DeployedNode, *fasthttp.HostClient) {
+	t.Helper()
+	c := newTestCluster(t, 0, responder.Behaviour{})
+	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
+	startRawUpstream(t, target.Settings.AnnounceAddress, "conditioned", upstream.serve)
+	awaitServing(t, c.Deployment, 1)
+	return c, target, &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+}
+
 // callEntries makes one call with a timeout in seconds and returns the response.
 func callEntries(t *testing.T, client *fasthttp.HostClient, timeout string) *fasthttp.Response {
 	t.Helper()
@@ -48,12 +58,8 @@
 // TestLeavingTravelsOverTheWire guards against a restarted node that sends to a leaving upstream because the notice, which
 // the entry node has passed on, does not come back with its attempts. Nodes and upstream are connected by sockets.
 func TestLeavingTravelsOverTheWire(t *testing.T) {
-	c := newTestCluster(t, 0, responder.Behaviour{})
-	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
 	upstream := &conditionedUpstream{header: interpreter.HeaderLeaving + ": 1"}
-	startRawUpstream(t, target.Settings.AnnounceAddress, "leaving", upstream.serve)
-	awaitServing(t, c.Deployment, 1)
-	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+	c, target, client := startConditioned(t, upstream)
 	if resp := callEntries(t, client, "10"); resp.StatusCode() != fasthttp.StatusOK || len(resp.Header.Peek(interpreter.HeaderLeaving)) == 0 {
 		t.Fatalf("the first call: %s", resp)
 	}
@@ -79,12 +85,8 @@
 // TestRateLimitTravelsOverTheWire guards against a rate limit that is read in the upstream's answers but kept nowhere
 // between sockets, and against an answer that does not tell the caller of it.
 func TestRateLimitTravelsOverTheWire(t *testing.T) {
-	c := newTestCluster(t, 0, responder.Behaviour{})
-	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
 	upstream := &conditionedUpstream{header: interpreter.HeaderRateLimit + ": 2"}
-	startRawUpstream(t, target.Settings.AnnounceAddress, "limited", upstream.serve)
-	awaitServing(t, c.Deployment, 1)
-	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+	_, _, client := startConditioned(t, upstream)
 	told, limited := 0, 0
 	started := time.Now()
 	for range 40 {
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -110,19 +110,17 @@
 	// A request with an unusable header can still have an id.
 	callerRequest, _ := u.interpreter.ReadRequest(&req.Header)
 	x.ID = callerRequest.ID
-	if x.ID != "" {
-		x.Accept = func(header *fasthttp.ResponseHeader) bool {
-			id := u.interpreter.ReadAnswer(header).ID
-			return id == "" || id == x.ID
-		}
-	}
-	x.Rejection = func(header *fasthttp.ResponseHeader) forwarder.Rejection {
-		return rejectionOf(u.interpreter.ReadAnswer(header), x.ID)
+	// answer is that of the response which was read last.
+	var answer interpreter.Answer
+	x.Accept = func(header *fasthttp.ResponseHeader) bool {
+		answer = u.interpreter.ReadAnswer(header)
+		return answer.ID == "" || x.ID == "" || answer.ID == x.ID
 	}
+	x.Rejection = func() forwarder.Rejection { return rejectionOf(answer, x.ID) }
 	if err := pool.Do(ctx, x); err != nil {
 		return err
 	}
-	return u.checkAnswer(resp, sending)
+	return u.checkAnswer(resp, answer, sending)
 }
 
 // rejectionOf returns whether the answer states that the request with the id was not run.
@@ -137,11 +135,10 @@
 	}
 }
 
-// checkAnswer reads what the upstream reports in the headers of its answer to a request, and removes the headers that
-// concern only its connection. The error means that the request was not run (executor.ErrMisdirected,
-// executor.ErrShed) or that the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
-func (u *localUpstream) checkAnswer(resp *fasthttp.Response, request sentRequest) error {
-	answer := u.interpreter.ReadAnswer(&resp.Header)
+// checkAnswer uses what the upstream reports in the headers of its answer to a request, and removes the headers that
+// concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed)
+// or that the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
+func (u *localUpstream) checkAnswer(resp *fasthttp.Response, answer interpreter.Answer, request sentRequest) error {
 	if answer.HasLoad {
 		u.observer.UpdateLoad(answer.Load)
 	}
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -245,7 +245,7 @@
 	if err := v.deployment.upstream(ctx, v, req, resp, deadline); err != nil {
 		return err
 	}
-	return v.upstream.checkAnswer(resp, sending)
+	return v.upstream.checkAnswer(resp, v.upstream.interpreter.ReadAnswer(&resp.Header), sending)
 }
 
 // ProbeLoad implements executor.LoadProber.
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/logger"
 	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
@@ -217,7 +218,7 @@
 		if address.optional && !address.value.IsValid() {
 			continue
 		}
-		if !address.value.IsValid() || address.value.Port() == 0 || address.value.Addr().IsUnspecified() {
+		if !dialer.IsHost(address.value) {
 			return invalidField(address.field, address.value, "want the IP and port that others reach, such as 10.0.0.1:8080")
 		}
 		if other, ok := fieldOf[address.value]; ok {
