Tell a refusal for the rate limit by free slots, so that it is tried elsewhere

A refusal for a full queue is not tried at other nodes while its caller can come back; one for the limit of one upstream is.

Change: it is the limit if slots are free.

The bound is as it was.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -22,10 +22,10 @@
 	// A neighbour can always have one request of each rank queued, so that a neighbour whose requests are
 	// expensive gets its share.
 	if wait+s.expectedHold(w.Class) > target && len(s.flowOf(w.Class).queue) > 0 {
-		return refuser.NewWithRetryAfter(s.lateReason(now, w.Class, refuser.ReasonQueueFull), s.retryAfter(now, w.Class, target), "the expected wait is too long")
+		return refuser.NewWithRetryAfter(s.lateReason(refuser.ReasonQueueFull), s.retryAfter(now, w.Class, target), "the expected wait is too long")
 	}
 	if now.Add(wait + s.expectedCost(w.Class)).After(w.Deadline) {
-		return refuser.NewWithRetryAfter(s.lateReason(now, w.Class, refuser.ReasonDeadline), s.retryAfter(now, w.Class, w.Deadline.Sub(now)), "the deadline can't be met")
+		return refuser.NewWithRetryAfter(s.lateReason(refuser.ReasonDeadline), s.retryAfter(now, w.Class, w.Deadline.Sub(now)), "the deadline can't be met")
 	}
 	return nil
 }
--- a/internal/scheduler/ratelimit.go
+++ b/internal/scheduler/ratelimit.go
@@ -96,10 +96,10 @@
 	w.pacer = nil
 }
 
-// lateReason returns the reason for refusing a request of the class that can't start in time: the upstream's rate limit
-// where that delays it for longer than the slots do, and the given one elsewhere.
-func (s *Scheduler) lateReason(now time.Time, class Class, reason refuser.Reason) refuser.Reason {
-	if delay := s.expectedRateDelay(now, class); delay > 0 && delay >= s.expectedSlotWait(class) {
+// lateReason returns the reason for refusing a request that can't start in time: the upstream's rate limit where that keeps
+// requests from free slots, and the given one elsewhere.
+func (s *Scheduler) lateReason(reason refuser.Reason) refuser.Reason {
+	if s.pacer.IsLimited() && s.running < s.slots {
 		return refuser.ReasonRateLimit
 	}
 	return reason
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -303,11 +303,11 @@
 }
 
 func (s *Scheduler) tooLateRefusal(now time.Time, w *Waiter) *refuser.Refusal {
-	return refuser.NewWithRetryAfter(s.lateReason(now, w.Class, refuser.ReasonQueueFull), s.retryAfter(now, w.Class, 0), "the wait was longer than expected and others are in time")
+	return refuser.NewWithRetryAfter(s.lateReason(refuser.ReasonQueueFull), s.retryAfter(now, w.Class, 0), "the wait was longer than expected and others are in time")
 }
 
 func (s *Scheduler) expiredRefusal(now time.Time, w *Waiter) *refuser.Refusal {
-	return refuser.NewWithRetryAfter(s.lateReason(now, w.Class, refuser.ReasonDeadline), s.retryAfter(now, w.Class, 0), "the deadline passed in the queue")
+	return refuser.NewWithRetryAfter(s.lateReason(refuser.ReasonDeadline), s.retryAfter(now, w.Class, 0), "the deadline passed in the queue")
 }
 
 // Flush refuses every queued waiter with the given refusal. Running requests continue.
