Review: the two consumers of case 2 have accounts of their own

Each request bears the account of its maker, as a service that keeps idempotency keys would need it.

--- a/review/standin/case_key.go
+++ b/review/standin/case_key.go
@@ -9,17 +9,17 @@
 
 const submissions = 12
 
-// playKey lets two consumers on different machines send submissions of their own with a header that the pages don't name
-// and that bears each consumer's own count of its submissions.
+// playKey lets two makers on different machines, each with an account of its own, send submissions with a header that the
+// pages don't name. It bears each maker's own count of its submissions.
 func playKey(s *scene) (broken int, err error) {
 	var mu sync.Mutex
 	var answered []outcome
 	for number := range submissions {
 		var consumers sync.WaitGroup
 		for c, m := range s.sidecar[:2] {
-			var lines []string
+			lines := []string{fmt.Sprintf("Authorization: Bearer maker-%d", c)}
 			if s.trouble {
-				lines = []string{fmt.Sprintf("Idempotency-Key: %d", number+1)}
+				lines = append(lines, fmt.Sprintf("Idempotency-Key: %d", number+1))
 			}
 			consumers.Go(func() {
 				time.Sleep(time.Duration(c) * usualWork / 2)
