Review: two routes share host and prefix, and are acknowledged (CONFIG)

What breaks: a desired state with two routes for one prefix, of hosts that differ in the case of a letter alone, is acknowledged. The second route gets no request; its consumers are answered by the service of the first.

Cause: the validator compares hosts as written, the matcher in lower case.

--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,7 +14,9 @@
 // attempt is one attempt of a consumer.
 type attempt struct {
 	Method, Path string
-	Body         string
+	// Host is the usual one where it is empty.
+	Host string
+	Body string
 	// Lines are further header lines.
 	Lines   []string
 	Timeout time.Duration
@@ -47,7 +50,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(a.Timeout))
 	lines := []string{
-		a.Method + " " + a.Path + " HTTP/1.1", "Host: " + host, wire.RequestID + ": " + id,
+		a.Method + " " + a.Path + " HTTP/1.1", "Host: " + cmp.Or(a.Host, host), wire.RequestID + ": " + id,
 		fmt.Sprintf("%s: %d", wire.Timeout, a.Timeout.Milliseconds()),
 	}
 	lines = append(lines, a.Lines...)
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -22,19 +22,23 @@
 	TimeoutSeconds      float64
 }
 
+// virtualHost is a host with its routes.
+type virtualHost struct {
+	Name   string
+	Routes []route
+}
+
 // desiredState is what the operator sends.
 type desiredState struct {
 	Version  uint64
-	Host     string
 	Services []string
-	Routes   []route
+	Hosts    []virtualHost
 }
 
 var errRefused = errors.New("the desired state is refused")
 
 // put sends a desired state until it is acknowledged, to the core machines in turn.
 func (d *deployment) put(base uint64, state desiredState) error {
-	state.Host = host
 	var text bytes.Buffer
 	if err := templates.ExecuteTemplate(&text, "config.tmpl", state); err != nil {
 		return err
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -36,6 +36,7 @@
 	play     func(*scene) (broken int, err error)
 }{
 	"caller":  {[]string{serviceEntries, serviceArchive}, playCaller},
+	"hosts":   {[]string{serviceEntries, serviceArchive}, playHosts},
 	"key":     {[]string{serviceEntries, serviceEntries, serviceEntries}, playKey},
 	"memory":  {[]string{serviceEntries, serviceEntries}, playMemory},
 	"poison":  {[]string{serviceEntries, serviceArchive}, playPoison},
@@ -54,17 +55,7 @@
 			return fmt.Errorf("%s: %w", m.Name, err)
 		}
 	}
-	state := desiredState{Version: 3}
-	for _, service := range services {
-		if slices.Contains(state.Services, service) {
-			continue
-		}
-		state.Services = append(state.Services, service)
-		state.Routes = append(state.Routes,
-			route{Name: service + "-read", Type: "safe", Service: service, TimeoutSeconds: 4},
-			route{Name: service + "-write", Type: "unsafe", Service: service, TimeoutSeconds: 4})
-	}
-	if err := s.put(0, state); err != nil {
+	if err := s.put(0, firstState(services)); err != nil {
 		return err
 	}
 	if err := s.awaitReady(); err != nil {
@@ -79,6 +70,24 @@
 	return nil
 }
 
+// firstVersion is the version of the first desired state.
+const firstVersion = 3
+
+// firstState returns a desired state with a safe and an unsafe route to each of the services.
+func firstState(services []string) desiredState {
+	state := desiredState{Version: firstVersion, Hosts: []virtualHost{{Name: host}}}
+	for _, service := range services {
+		if slices.Contains(state.Services, service) {
+			continue
+		}
+		state.Services = append(state.Services, service)
+		state.Hosts[0].Routes = append(state.Hosts[0].Routes,
+			route{Name: service + "-read", Type: "safe", Service: service, TimeoutSeconds: 4},
+			route{Name: service + "-write", Type: "unsafe", Service: service, TimeoutSeconds: 4})
+	}
+	return state
+}
+
 // startInstance starts the instance of a sidecar machine, under the same id each time.
 func (s *scene) startInstance(machine int) error {
 	p, err := s.startInstanceProcess(s.sidecar[machine], fmt.Sprintf("i-%d", machine))
