--- a/review/standin/case_poison.go
+++ b/review/standin/case_poison.go
@@ -9,7 +9,9 @@
 	poisonRounds = 14
 	// allowedRetries is how often the request may reach instances after the third crash.
 	allowedRetries = 3
-	poisonPause    = 2 * time.Second
+	poisonPause    = time.Second
+	// crashTime is how long an instance is down after a crash.
+	crashTime = 2 * time.Second
 )
 
 // playPoison sends a request that crashes each instance that runs it again and again at one machine. The instances start
@@ -47,7 +49,7 @@
 
 // startEnded starts the instances again that have ended, under the ids that they had.
 func (s *scene) startEnded() error {
-	time.Sleep(restartPause)
+	time.Sleep(crashTime)
 	for machine, p := range s.instances {
 		select {
 		case <-p.exited:
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -62,6 +62,10 @@
 	mu        sync.Mutex
 	processes []*exec.Cmd
 	runs      []run
+	// stopped is set when no further process may be started.
+	stopped bool
+	// ending counts the instances that have not ended.
+	ending sync.WaitGroup
 }
 
 // newDeployment prepares three core machines and a sidecar machine for each service that is named.
@@ -166,16 +170,22 @@
 	return d.startProcess(m.node)
 }
 
+// startProcess starts a process, unless the deployment has been stopped.
 func (d *deployment) startProcess(process *exec.Cmd) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return errStopped
+	}
 	if err := process.Start(); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.processes = append(d.processes, process)
 	return nil
 }
 
+var errStopped = errors.New("the deployment has been stopped")
+
 // restartNodes kills the nodes of machines and starts them again after the pause.
 func (d *deployment) restartNodes(pause time.Duration, machines ...*machine) error {
 	for _, m := range machines {
@@ -224,12 +234,12 @@
 	}
 	p := &instanceProcess{id: id, command: command, input: input, exited: make(chan struct{}), heartbeats: make(chan struct{})}
 	d.record.printf("the instance %s of %s starts on %s", id, m.Service, m.Name)
-	go func() {
+	d.ending.Go(func() {
 		d.readReports(p, output)
 		_ = command.Wait()
 		d.record.printf("the instance %s has ended", id)
 		close(p.exited)
-	}()
+	})
 	return p, nil
 }
 
@@ -276,6 +286,7 @@
 // stop ends all processes that the case has started.
 func (d *deployment) stop() {
 	d.mu.Lock()
+	d.stopped = true
 	processes := slices.Clone(d.processes)
 	d.mu.Unlock()
 	for _, process := range processes {
@@ -286,6 +297,7 @@
 			_ = m.node.Wait()
 		}
 	}
+	d.ending.Wait()
 }
 
 // awaitReady waits until the node of each sidecar machine is ready.
