A member at a reused address no longer answers pings for the earlier one

A ping names no target, so whoever is at the address acknowledges it.

Cause: addresses of VMs that are gone are used again. A new member at such an address kept the earlier member alive to all others, for good.

Change: pings name their target, and another member doesn't acknowledge them. A ping without a target (to a seed, or from an earlier build) is for whoever is there.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -284,7 +284,9 @@
 func (g *Gossiper) handle(now time.Time, from netip.AddrPort, p *Packet) {
 	switch p.Kind {
 	case KindPing:
-		g.enqueue(from, &Packet{Kind: KindAck, Sequence: p.Sequence})
+		if p.Target == "" || p.Target == g.self {
+			g.enqueue(from, &Packet{Kind: KindAck, Sequence: p.Sequence})
+		}
 	case KindAck:
 		g.handleAck(now, p.Sequence)
 	case KindIndirectPing:
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -167,16 +167,21 @@
 
 func memberName(i int) string { return fmt.Sprintf("n%03d", i) }
 
-// add starts a member. Member 0 is the seed of all members.
+// add starts a member at the address of its number. Member 0 is the seed of all members.
 func (n *network) add(i int, incarnation uint64) {
+	n.addAt(i, incarnation, memberAddress(i))
+}
+
+// addAt starts a member at the address.
+func (n *network) addAt(i int, incarnation uint64, address netip.AddrPort) {
 	p := endpoint{memberName(i), n}
-	n.namesByAddress[memberAddress(i)] = p.name
+	n.namesByAddress[address] = p.name
 	n.gossipers[p.name] = New(Config{
 		Budget: p, Clock: n, Codec: n.codec, Observer: p, Random: rand.New(rand.NewPCG(testSeed, uint64(i)+incarnation<<32)),
 		Seeds: []netip.AddrPort{memberAddress(0)}, Transport: p,
 		Self: Member{
 			Name: p.name, DataCentre: fmt.Sprintf("dc%d", i%7), Region: fmt.Sprintf("r%d", i%7%3),
-			Control: memberAddress(i), Peer: memberAddress(i), Incarnation: incarnation,
+			Control: address, Peer: address, Incarnation: incarnation,
 			Service: fmt.Sprintf("s%d", i%76), Slots: 12, Upstream: announcer.StateReady,
 		},
 	})
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -57,7 +57,8 @@
 	Kind     Kind   `cbor:"1,keyasint"`
 	Sender   string `cbor:"2,keyasint"`
 	Sequence uint64 `cbor:"3,keyasint,omitempty"`
-	// Target is the name of the member to ping, in packets of KindIndirectPing.
+	// Target is the name of the member to ping, in packets of KindPing and KindIndirectPing. A ping without a target is
+	// for whoever is at the address.
 	Target string `cbor:"4,keyasint,omitempty"`
 	// Version is the document version that the sender has in force; zero if it has none.
 	Version uint64   `cbor:"5,keyasint,omitempty"`
--- a/internal/gossiper/probe.go
+++ b/internal/gossiper/probe.go
@@ -43,7 +43,7 @@
 	}
 	g.sequence++
 	g.relays[g.sequence] = relay{expires: now.Add(probeInterval), origin: from, sequence: p.Sequence}
-	g.enqueue(target.Control, &Packet{Kind: KindPing, Sequence: g.sequence})
+	g.enqueue(target.Control, &Packet{Kind: KindPing, Sequence: g.sequence, Target: p.Target})
 	for sequence, r := range g.relays {
 		if now.After(r.expires) {
 			delete(g.relays, sequence)
@@ -65,7 +65,7 @@
 // ping sends a ping. The sequence number zero belongs to no probe, so that the ack of such a ping ends
 // none.
 func (g *Gossiper) ping(target *entry, sequence uint64) {
-	p := &Packet{Kind: KindPing, Sequence: sequence}
+	p := &Packet{Kind: KindPing, Sequence: sequence, Target: target.Name}
 	if target.Status != StatusAlive {
 		// The member has to receive its own record to refute the suspicion or death.
 		p.Members = append(p.Members, target.Member)
