Replace the replica of a VM that is gone within the catch-up time of its successor

Cause: the register took a node for gone when the membership declared it dead and a second had passed. A replica that no running node knows was given up 5 s after the start of the nodes. The promise (a VM that is removed stops counting 4 s after the start of its successor) has no such term.

Change: replicas and spares watch each other by pings at a fixed interval (gossiper.Watch), at most six spares; a silence of 1.2 s is enough, or 2 s where the node was never heard from. Only a spare that answers gets a replica. The first turn of a repair no longer goes to a silent leader. New lines tell when a watched node falls silent and when a change is due.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -121,6 +121,10 @@
 	// updates holds the records that are still being spread, by member name.
 	updates map[string]*update
 	version uint64
+	// lastTick is the time of the last call of Tick.
+	lastTick time.Time
+	// watched holds the watched members by name.
+	watched map[string]*watch
 	// versionSendsLeft is the number of ticks that still send the version without any pending update.
 	versionSendsLeft int
 	// viewHash is the XOR of the hashes of all records.
@@ -192,6 +196,7 @@
 	now := g.clock.Now()
 	g.ticks++
 	if !g.hasLeft {
+		g.tickWatch(now)
 		g.checkProbes(now)
 		g.checkSuspects(now)
 		if now.Sub(g.lastProbe) >= probeInterval {
@@ -217,6 +222,7 @@
 	}
 	if p.Kind == KindLoad {
 		sender, ok := g.members[p.Sender]
+		g.recordContact(g.clock.Now(), p.Sender)
 		g.mu.Unlock()
 		if ok {
 			g.observer.LoadSeen(sender.Member, *p.Load)
@@ -227,6 +233,7 @@
 	for i := range p.Members {
 		g.merge(p.Members[i])
 	}
+	g.recordContact(now, p.Sender)
 	if sender, ok := g.members[p.Sender]; ok {
 		if sender.Status == StatusSuspect {
 			// The sender is alive and has to receive the suspicion to refute it.
@@ -394,26 +401,6 @@
 	return m.Member, true
 }
 
-// Record is a member's record with its age: the time since the record last changed or, for a suspect
-// member, since the last packet from it.
-type Record struct {
-	Member
-	Age time.Duration
-}
-
-// Records returns every record with its age, sorted by name.
-func (g *Gossiper) Records() []Record {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock.Now()
-	records := make([]Record, 0, len(g.members))
-	for _, name := range g.sortedNames() {
-		m := g.members[name]
-		records = append(records, Record{Member: m.Member, Age: now.Sub(m.since)})
-	}
-	return records
-}
-
 // Members returns every record, sorted by name.
 func (g *Gossiper) Members() []Member {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/gossiper/watch.go
@@ -0,0 +1,92 @@
+package gossiper
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// watchTicks is the number of ticks between two pings of a watched member.
+	watchTicks = 2
+	// maxTickGap is the time between two ticks above which this process itself was paused.
+	maxTickGap = 3 * TickInterval
+)
+
+// Contact tells how long ago a watched member was last heard from.
+type Contact struct {
+	// Heard reports whether a packet has arrived from the member since the watch began.
+	Heard bool
+	// Silence is the time since the last packet from the member or, if later, since the watch began or this process
+	// went on after a pause.
+	Silence time.Duration
+}
+
+// watch is the state of one watched member.
+type watch struct {
+	heard bool
+	// since is the start of the current silence.
+	since time.Time
+}
+
+// Watch makes the gossiper ping the named members at a fixed interval, which does not grow with the number of members,
+// until the next call of Watch. A member that was watched before keeps its contact; the names need not be known. The
+// pings carry this member's own record, so that a watched member knows it soon.
+func (g *Gossiper) Watch(names []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	watched := make(map[string]*watch, len(names))
+	for _, name := range names {
+		if name == g.self {
+			continue
+		}
+		watched[name] = g.watched[name]
+		if watched[name] == nil {
+			watched[name] = &watch{since: g.clock.Now()}
+		}
+	}
+	g.watched = watched
+}
+
+// Contacts returns the contact with each watched member, by name.
+func (g *Gossiper) Contacts() map[string]Contact {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	contacts := make(map[string]Contact, len(g.watched))
+	for name, w := range g.watched {
+		contacts[name] = Contact{Heard: w.heard, Silence: now.Sub(w.since)}
+	}
+	return contacts
+}
+
+// recordContact ends the silence of the sender of a packet, if it is watched.
+func (g *Gossiper) recordContact(now time.Time, sender string) {
+	if w := g.watched[sender]; w != nil {
+		w.heard, w.since = true, now
+	}
+}
+
+// tickWatch pings the watched members whose addresses are known. After a pause of this process every silence begins
+// anew, because the packets of that time may be lost.
+func (g *Gossiper) tickWatch(now time.Time) {
+	if now.Sub(g.lastTick) > maxTickGap {
+		for _, w := range g.watched {
+			w.since = now
+		}
+	}
+	g.lastTick = now
+	if g.ticks%watchTicks != 0 {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(g.watched)) {
+		if m, ok := g.members[name]; ok && m.Status != StatusLeft {
+			g.pingWithRecord(m)
+		}
+	}
+}
+
+// pingWithRecord pings a member and sends it this member's own record. It belongs to no probe.
+func (g *Gossiper) pingWithRecord(target *entry) {
+	g.enqueue(target.Control, &Packet{Kind: KindPing, Members: []Member{g.members[g.self].Member}, Target: target.Name})
+}
--- /dev/null
+++ b/internal/gossiper/watch_test.go
@@ -0,0 +1,59 @@
+package gossiper
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// maxNoticeDelay is the limit on the time until the silence of a watched member shows.
+	maxNoticeDelay = 3 * watchTicks * TickInterval
+	// lastMember is the member that the tests stop.
+	lastMember = 13
+)
+
+// watchLast makes the first five members watch the last one.
+func watchLast(n *network) {
+	for i := range 5 {
+		n.gossipers[memberName(i)].Watch([]string{memberName(lastMember)})
+	}
+}
+
+// TestSilenceShowsSoonInLargeDeployments guards against a watch that is as slow as the detection of dead members, which
+// takes longer with more members.
+func TestSilenceShowsSoonInLargeDeployments(t *testing.T) {
+	for _, count := range []int{14, 100} {
+		n := newNetwork(t, count)
+		watchLast(n)
+		n.run(5 * time.Second)
+		for i := range 5 {
+			contact := n.gossipers[memberName(i)].Contacts()[memberName(lastMember)]
+			if !contact.Heard || contact.Silence > maxNoticeDelay {
+				t.Errorf("%d members: the contact with a running member is %+v", count, contact)
+			}
+		}
+		n.stopped[memberName(lastMember)] = true
+		n.run(maxNoticeDelay + time.Second)
+		for i := range 5 {
+			if contact := n.gossipers[memberName(i)].Contacts()[memberName(lastMember)]; contact.Silence < time.Second {
+				t.Errorf("%d members: %s after a member has ended its silence is %s", count, maxNoticeDelay+time.Second, contact.Silence)
+			}
+		}
+	}
+}
+
+// TestPauseIsNoSilence guards against a member that takes the others for silent because it was paused itself.
+func TestPauseIsNoSilence(t *testing.T) {
+	n := newNetwork(t, 14)
+	watchLast(n)
+	n.run(5 * time.Second)
+	paused := memberName(0)
+	n.stopped[paused] = true
+	n.run(freezeDuration)
+	n.stopped[paused] = false
+	g := n.gossipers[paused]
+	g.Tick()
+	if contact := g.Contacts()[memberName(lastMember)]; contact.Silence > 0 {
+		t.Errorf("after a pause of the member itself another one counts as silent for %s", contact.Silence)
+	}
+}
--- a/internal/maintainer/fleet_test.go
+++ b/internal/maintainer/fleet_test.go
@@ -6,29 +6,30 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/diskfaker"
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/maintainer"
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 // Times of the simulated nodes. Those of the tasks are the ones of a node.
 const (
-	detectionTime    = time.Second
-	joinTime         = 200 * time.Millisecond
+	joinInterval     = 400 * time.Millisecond
 	learnInterval    = time.Second
 	learnTimeout     = 3 * time.Second
 	maintainInterval = 200 * time.Millisecond
 	maintainTimeout  = 3 * time.Second
 	maxLatency       = 5 * time.Millisecond
 	pullInterval     = 400 * time.Millisecond
-	settleTime       = 5 * time.Second
 )
 
 const dataFolder = "/register"
@@ -48,12 +49,24 @@
 	random *rand.Rand
 	vms    map[string]*vm
 	// sides holds the side of a cut that each VM is on; all are on the same one without a cut.
-	sides      map[string]bool
-	sidesSince time.Time
+	sides map[string]bool
+	// frozen holds the VMs whose processes stand still and neither send nor receive messages.
+	frozen map[string]bool
+	// retired holds the VMs that are gone for good.
+	retired map[string]bool
+	codec   *gossiper.Codec
+	// others are the members without a disk.
+	others []gossiper.Member
+	// left are the records of members that are long gone.
+	left []gossiper.Member
+	// lookups holds the names of the VMs by their addresses.
+	lookups map[netip.AddrPort]string
 	// lossPercent is the part of the requests, and of the replies, that are lost.
 	lossPercent int
-	starts      int
-	tasks       sync.WaitGroup
+	// syncTime is how long the disks delay each reply.
+	syncTime time.Duration
+	starts   int
+	tasks    sync.WaitGroup
 }
 
 // vm is a VM with its disk.
@@ -64,7 +77,7 @@
 	name   string
 	// process is nil while the VM is down.
 	process *process
-	since   time.Time
+	address netip.AddrPort
 }
 
 // process is one run of a node on a VM. The fields after proposer are guarded by the fleet's mutex.
@@ -72,18 +85,32 @@
 	acceptor *replicator.Acceptor
 	fleet    *fleet
 	proposer *replicator.Proposer
-	started  time.Time
 	stop     context.CancelFunc
 	vm       *vm
 
 	inForce *replicator.Value
 	leaving bool
+	// gossiper knows the other members as a node does.
+	gossiper *gossiper.Gossiper
+	seeds    []netip.AddrPort
+	// waitingSince is when the change became due that is not made yet.
+	waitingSince time.Time
 }
 
 func newFleet(tb testing.TB, seed uint64, target int) *fleet {
+	tb.Helper()
+	key, err := signer.New([]byte("a key for the tests only"))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	codec, err := gossiper.NewCodec(key)
+	if err != nil {
+		tb.Fatal(err)
+	}
 	return &fleet{
-		tb: tb, target: target, random: rand.New(rand.NewPCG(seed, 0)),
-		vms: make(map[string]*vm), sides: make(map[string]bool), sidesSince: time.Now(),
+		tb: tb, target: target, random: rand.New(rand.NewPCG(seed, 0)), codec: codec,
+		vms: make(map[string]*vm), sides: make(map[string]bool), frozen: make(map[string]bool), retired: make(map[string]bool),
+		lookups: make(map[netip.AddrPort]string),
 	}
 }
 
@@ -105,8 +132,9 @@
 	f.mu.Lock()
 	v := f.vms[name]
 	if v == nil {
-		v = &vm{disk: diskfaker.New(), name: name}
+		v = &vm{disk: diskfaker.New(), name: name, address: memberAddress(len(f.vms))}
 		f.vms[name] = v
+		f.lookups[v.address] = name
 	}
 	if v.process != nil {
 		f.mu.Unlock()
@@ -125,15 +153,23 @@
 		f.tb.Fatalf("%s: %v", name, err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{acceptor: acceptor, fleet: f, started: time.Now(), stop: stop, vm: v}
+	p := &process{acceptor: acceptor, fleet: f, stop: stop, vm: v}
+	p.gossiper = f.newGossiper(p, uint64(incarnation))
 	p.proposer = replicator.NewProposer(timekeeper.System{}, fmt.Sprintf("%s.%d", name, incarnation), p)
 	f.mu.Lock()
-	v.diskID, v.process, v.since = acceptor.DiskID(), p, time.Now()
+	v.diskID, v.process = acceptor.DiskID(), p
 	f.mu.Unlock()
-	for interval, task := range map[time.Duration]func(context.Context){
-		learnInterval: p.learn, maintainInterval: p.maintain, pullInterval: p.pull,
+	for _, task := range []struct {
+		interval time.Duration
+		run      func(context.Context)
+	}{
+		{learnInterval, p.learn},
+		{maintainInterval, p.maintain},
+		{pullInterval, p.pull},
+		{joinInterval, p.join},
+		{gossiper.TickInterval, p.tick},
 	} {
-		f.tasks.Go(func() { repeat(ctx, interval, task) })
+		f.tasks.Go(func() { repeat(ctx, task.interval, task.run) })
 	}
 }
 
@@ -156,7 +192,15 @@
 		return
 	}
 	v.process.stop()
-	v.process, v.since = nil, time.Now()
+	v.process = nil
+}
+
+// remove ends the process of a VM, which never comes back.
+func (f *fleet) remove(name string) {
+	f.kill(name)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired[name] = true
 }
 
 // cutPower ends the process of a VM after a random number of operations of its disk, or after the wait, and keeps,
@@ -184,7 +228,6 @@
 	for _, name := range names {
 		f.sides[name] = true
 	}
-	f.sidesSince = time.Now()
 }
 
 // setLoss sets the part of the requests, and of the replies, that are lost.
@@ -215,7 +258,7 @@
 	v := f.vms[name]
 	lost := f.random.IntN(100) < f.lossPercent
 	switch {
-	case p.vm.process != p || v == nil || lost || f.sides[name] != f.sides[p.vm.name]:
+	case p.vm.process != p || v == nil || lost || f.sides[name] != f.sides[p.vm.name] || f.frozen[name] || f.frozen[p.vm.name]:
 		return nil, errNoReply
 	case v.process == nil:
 		return nil, errNoListen
@@ -236,6 +279,7 @@
 		return none, err
 	}
 	reply, err := handle(peer)
+	timekeeper.Sleep(ctx, timekeeper.System{}, p.fleet.syncTime)
 	timekeeper.Sleep(ctx, timekeeper.System{}, p.fleet.randomDuration(maxLatency/5, maxLatency))
 	if again, lostErr := p.peer(name); lostErr != nil || again != peer {
 		<-ctx.Done()
@@ -351,20 +395,32 @@
 	}
 }
 
-// maintain changes the set of replicas if a change is due.
+// maintain watches the replicas and changes the set of them if a change is due.
 func (p *process) maintain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maintainTimeout)
 	defer cancel()
 	current := p.current()
+	if p.isFrozen() {
+		return
+	}
 	if current == nil {
 		if p.acceptor.Accepted() != nil {
 			_, _ = p.read(ctx)
 		}
 		return
 	}
-	view := p.fleet.view(p, current.Replicas)
+	view := p.view(current.Replicas)
+	p.gossiper.Watch(maintainer.Watched(&view))
+	view.Contacts = p.gossiper.Contacts()
 	next, changed := maintainer.Next(view)
-	if !changed || !maintainer.ShouldAct(view, p.vm.name, p.fleet.randomDuration(0, 3*time.Second)) {
+	switch {
+	case !changed:
+		p.waitingSince = time.Time{}
+		return
+	case p.waitingSince.IsZero():
+		p.waitingSince = time.Now()
+	}
+	if !maintainer.ShouldAct(view, time.Since(p.waitingSince)) {
 		return
 	}
 	if value, err := p.proposer.Reconfigure(ctx, current.Revision, next); err == nil {
@@ -373,27 +429,14 @@
 }
 
 // view returns what the process knows of the others.
-func (f *fleet) view(p *process, replicas []replicator.Replica) maintainer.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	view := maintainer.View{KnowsAllNodes: time.Since(p.started) > settleTime, Replicas: replicas, TargetReplicas: f.target}
-	for _, name := range slices.Sorted(maps.Keys(f.vms)) {
-		v := f.vms[name]
-		candidate := maintainer.Candidate{DiskID: v.diskID, Leaving: v.process == p && p.leaving, Name: name}
-		cut := f.sides[name] != f.sides[p.vm.name]
-		age := time.Since(v.since)
-		if cut && (v.process != nil || time.Since(f.sidesSince) > age) {
-			age = time.Since(f.sidesSince)
-		}
-		switch {
-		case v.process == nil || cut:
-			candidate.Gone, candidate.StateAge = age > detectionTime, age-detectionTime
-		case age < joinTime && v.process != p:
-			candidate.Gone = true
-		default:
-			candidate.StateAge = age
+func (p *process) view(replicas []replicator.Replica) maintainer.View {
+	view := maintainer.View{
+		Contacts: p.gossiper.Contacts(), Replicas: replicas, Self: p.vm.name, TargetReplicas: p.fleet.target,
+	}
+	for _, m := range p.gossiper.Members() {
+		if m.DiskID != "" {
+			view.Candidates = append(view.Candidates, maintainer.NewCandidate(&m, m.Name == p.vm.name && p.leaving))
 		}
-		view.Candidates = append(view.Candidates, candidate)
 	}
 	return view
 }
--- a/internal/maintainer/losses_test.go
+++ b/internal/maintainer/losses_test.go
@@ -356,7 +356,7 @@
 
 // retire removes a member for good.
 func (m *lossModel) retire(name string) {
-	m.kill(name)
+	m.remove(name)
 	for i, member := range m.members {
 		if member == name {
 			m.members = append(m.members[:i:i], m.members[i+1:]...)
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -10,11 +10,13 @@
 
 	"github.com/rogpeppe/go-internal/txtar"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 )
 
 // TestNext checks Next against the views in testdata. A view lists the replicas as vm/disk, the nodes as vm/disk with
-// their state, the target number of replicas, and the expected set, or "keep" if it should not change.
+// their state, the silences of watched nodes that are not known, the target number of replicas, and the expected set, or
+// "keep" if it should not change.
 func TestNext(t *testing.T) {
 	archive, err := txtar.ParseFile(filepath.Join("testdata", "views.txtar"))
 	if err != nil {
@@ -37,7 +39,7 @@
 
 func parseView(t *testing.T, text string) (view View, want string) {
 	t.Helper()
-	view.KnowsAllNodes = true
+	view.Contacts = make(map[string]gossiper.Contact)
 	for line := range strings.Lines(text) {
 		key, rest, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		switch key {
@@ -48,7 +50,9 @@
 			}
 		case "nodes":
 			for _, word := range strings.Fields(rest) {
-				view.Candidates = append(view.Candidates, parseCandidate(t, word))
+				candidate, contact := parseCandidate(t, word)
+				view.Candidates = append(view.Candidates, candidate)
+				view.Contacts[candidate.Name] = contact
 			}
 		case "wanted":
 			count, err := strconv.Atoi(rest)
@@ -56,8 +60,9 @@
 				t.Fatal(err)
 			}
 			view.TargetReplicas = count
-		case "settled":
-			view.KnowsAllNodes = rest == "yes"
+		case "unknown":
+			name, silence, _ := strings.Cut(rest, "/unheard:")
+			view.Contacts[name] = gossiper.Contact{Silence: parseDuration(t, silence)}
 		case "next":
 			want = rest
 		default:
@@ -67,23 +72,38 @@
 	return view, want
 }
 
-// parseCandidate parses vm/disk, vm/disk/leaving or vm/disk/gone:DURATION.
-func parseCandidate(t *testing.T, word string) Candidate {
+// parseCandidate parses vm/disk, vm/disk/leaving, vm/disk/left, vm/disk/silent:DURATION or, for a node that was never
+// heard from, vm/disk/unheard:DURATION.
+func parseCandidate(t *testing.T, word string) (Candidate, gossiper.Contact) {
 	t.Helper()
 	parts := strings.Split(word, "/")
-	candidate := Candidate{DiskID: parts[1], Name: parts[0], StateAge: time.Hour}
-	if len(parts) > 2 && parts[2] == "leaving" {
+	candidate, contact := Candidate{DiskID: parts[1], Name: parts[0]}, gossiper.Contact{Heard: true}
+	if len(parts) < 3 {
+		return candidate, contact
+	}
+	state, silence, _ := strings.Cut(parts[2], ":")
+	switch state {
+	case "leaving":
 		candidate.Leaving = true
-		return candidate
+	case "left":
+		candidate.Gone, candidate.Left = true, true
+	case "silent":
+		contact.Silence = parseDuration(t, silence)
+	case "unheard":
+		contact = gossiper.Contact{Silence: parseDuration(t, silence)}
+	default:
+		t.Fatalf("unknown state: %q", word)
 	}
-	if len(parts) > 2 {
-		stateAge, err := time.ParseDuration(strings.TrimPrefix(parts[2], "gone:"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		candidate.Gone, candidate.StateAge = true, stateAge
+	return candidate, contact
+}
+
+func parseDuration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return candidate
+	return duration
 }
 
 func formatReplicas(replicas []replicator.Replica) string {
@@ -94,13 +114,14 @@
 	return strings.Join(words, " ")
 }
 
-// TestShouldActInOrderOfNames checks that the live replicas take turns in the order of their names, that a leaving one
-// acts at once and that gone nodes and nodes without a replica never act.
+// TestShouldActInOrderOfNames checks that the replicas that run take turns in the order of their names, that a leaving one
+// acts at once and that silent nodes and nodes without a replica never act.
 func TestShouldActInOrderOfNames(t *testing.T) {
 	view := View{
 		Candidates: []Candidate{
-			{Name: "a", Gone: true}, {Name: "b"}, {Name: "c"}, {Name: "d"}, {Name: "e", Leaving: true}, {Name: "f", Leaving: true},
+			{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}, {Name: "e", Leaving: true}, {Name: "f", Leaving: true},
 		},
+		Contacts: map[string]gossiper.Contact{"a": {Heard: true, Silence: time.Hour}},
 		Replicas: []replicator.Replica{{VM: "e"}, {VM: "c"}, {VM: "b"}, {VM: "a"}},
 	}
 	tests := []struct {
@@ -117,8 +138,35 @@
 		{"f", time.Hour, false},
 	}
 	for _, test := range tests {
-		if got := ShouldAct(view, test.self, test.waited); got != test.want {
+		view.Self = test.self
+		if got := ShouldAct(view, test.waited); got != test.want {
 			t.Errorf("node %s after %s: got %t", test.self, test.waited, got)
 		}
 	}
 }
+
+// TestWatchedNodesAreFew guards against a watch whose cost grows with the number of nodes.
+func TestWatchedNodesAreFew(t *testing.T) {
+	view := View{Contacts: make(map[string]gossiper.Contact), TargetReplicas: 5}
+	for i := range 651 {
+		name := fmt.Sprintf("vm-%03d", i)
+		view.Candidates = append(view.Candidates, Candidate{Name: name, DiskID: "1"})
+		if i < 5 {
+			view.Replicas = append(view.Replicas, replicator.Replica{VM: name, DiskID: "1"})
+		}
+	}
+	const most = 5 + 2*maxWatchedSpares
+	for _, candidate := range view.Candidates {
+		view.Self = candidate.Name
+		if watched := Watched(&view); len(watched) > most {
+			t.Errorf("%s watches %d nodes, want at most %d", view.Self, len(watched), most)
+		}
+	}
+	view.Self = "vm-650"
+	for _, replica := range view.Replicas {
+		view.Contacts[replica.VM] = gossiper.Contact{Heard: true}
+	}
+	if watched := Watched(&view); len(watched) > 0 {
+		t.Errorf("a spare node that has heard from all replicas watches %v", watched)
+	}
+}
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/maintainer"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 )
@@ -26,10 +27,11 @@
 	if local == nil {
 		return gossiper.Member{}, false
 	}
+	contacts := r.node.gossiper.Contacts()
 	var live []gossiper.Member
 	for _, replica := range local.Replicas {
 		m, ok := r.node.gossiper.Member(replica.VM)
-		if ok && m.Status == gossiper.StatusAlive && m.DiskID == replica.DiskID && !r.isSkipped(m.Name) {
+		if ok && !maintainer.IsSilent(contacts, m.Name) && m.Status == gossiper.StatusAlive && m.DiskID == replica.DiskID && !r.isSkipped(m.Name) {
 			live = append(live, m)
 		}
 	}
--- a/internal/relayer/maintain.go
+++ b/internal/relayer/maintain.go
@@ -20,8 +20,6 @@
 	// replicas than wanted, and growTimeout how long it waits for those that it knows of.
 	formTimeout = 6 * time.Second
 	growTimeout = 20 * time.Second
-	// membershipSettleTime is how long a node runs until it knows the others.
-	membershipSettleTime = 5 * time.Second
 )
 
 // maintainRegister forms the register and maintains its set of replicas until ctx is done, in deployments where no
@@ -30,42 +28,76 @@
 	if !n.settings.SelfForming || n.register.acceptor == nil {
 		return
 	}
-	var waitingSince time.Time
+	upkeep := &replicaUpkeep{node: n, silent: make(map[string]bool)}
 	runEvery(ctx, maintainInterval, func() {
-		now := n.clock.Now()
 		roundCtx, cancel := context.WithTimeout(ctx, maintainTimeout)
 		defer cancel()
 		if n.register.Local() == nil {
 			n.formRegister(roundCtx)
 			return
 		}
-		view := n.maintainerView()
-		replicas, changed := maintainer.Next(view)
-		if !changed {
-			waitingSince = time.Time{}
-			return
-		}
-		if waitingSince.IsZero() {
-			waitingSince = now
-		}
-		if maintainer.ShouldAct(view, n.settings.Name, now.Sub(waitingSince)) {
-			n.reconfigure(roundCtx, replicas)
-		}
+		upkeep.run(roundCtx)
 	})
 }
 
+// replicaUpkeep maintains the set of replicas of a register that is formed. Only the goroutine of maintainRegister uses
+// it.
+type replicaUpkeep struct {
+	node *Node
+	// silent holds the names of the watched nodes that are silent.
+	silent map[string]bool
+	// waitingSince is when the change became due that is not made yet; zero if none is due.
+	waitingSince time.Time
+}
+
+// run watches the nodes of the replicas, and changes the replicas if that is due and this node's turn.
+func (u *replicaUpkeep) run(ctx context.Context) {
+	n := u.node
+	view := n.maintainerView()
+	n.gossiper.Watch(maintainer.Watched(&view))
+	view.Contacts = n.gossiper.Contacts()
+	u.logSilences(&view)
+	replicas, changed := maintainer.Next(view)
+	now := n.clock.Now()
+	switch {
+	case !changed:
+		u.waitingSince = time.Time{}
+		return
+	case u.waitingSince.IsZero():
+		u.waitingSince = now
+		n.log.Info("A change of the replicas is due.", "wanted", replicaNames(replicas))
+	}
+	if maintainer.ShouldAct(view, now.Sub(u.waitingSince)) {
+		n.reconfigure(ctx, replicas)
+	}
+}
+
+// logSilences logs and counts the watched nodes that have become silent or were heard again.
+func (u *replicaUpkeep) logSilences(view *maintainer.View) {
+	for name, contact := range view.Contacts {
+		isSilent := maintainer.IsSilent(view.Contacts, name)
+		switch {
+		case isSilent && !u.silent[name]:
+			u.silent[name] = true
+			u.node.meter.Event("replica_nodes_silent")
+			u.node.log.Warn("A watched node is silent.", "member", name, "heard", contact.Heard, "silence", contact.Silence)
+		case !isSilent && u.silent[name]:
+			delete(u.silent, name)
+			u.node.log.Info("A watched node was heard again.", "member", name)
+		}
+	}
+}
+
 func (n *Node) maintainerView() maintainer.View {
 	view := maintainer.View{
+		Contacts:       n.gossiper.Contacts(),
 		Replicas:       n.register.Local().Replicas,
-		KnowsAllNodes:  n.clock.Now().Sub(n.started) > membershipSettleTime,
+		Self:           n.settings.Name,
 		TargetReplicas: n.targetReplicas(),
 	}
-	for _, record := range n.gossiper.Records() {
-		if record.DiskID != "" {
-			view.Candidates = append(view.Candidates, maintainer.Candidate{
-				DiskID: record.DiskID, Gone: record.Status >= gossiper.StatusDead,
-				Leaving: record.Name == n.settings.Name && n.draining.Load(), Name: record.Name, StateAge: record.Age,
-			})
+	for _, m := range n.gossiper.Members() {
+		if m.DiskID != "" {
+			view.Candidates = append(view.Candidates, maintainer.NewCandidate(&m, m.Name == n.settings.Name && n.draining.Load()))
 		}
 	}
 	return view
@@ -153,7 +185,7 @@
 // formingTimedOut reports whether a register with fewer replicas than wanted is used as it is after the node has
 // been running for so long. A change that such a register acknowledges does not survive the tolerated losses.
 func formingTimedOut(view maintainer.View, running time.Duration) bool {
-	if _, grows := maintainer.Next(view); grows {
+	if _, changes := maintainer.Next(view); changes || maintainer.HasSpare(&view) {
 		return running > growTimeout
 	}
 	return running > formTimeout
--- a/internal/relayer/maintain_test.go
+++ b/internal/relayer/maintain_test.go
@@ -24,7 +24,7 @@
 		"another is joining":    {joining, growTimeout, false},
 		"another fails to join": {joining, growTimeout + 1, true},
 	} {
-		view := maintainer.View{Candidates: one.candidates, Replicas: replicas, KnowsAllNodes: true, TargetReplicas: 5}
+		view := maintainer.View{Candidates: one.candidates, Replicas: replicas, TargetReplicas: 5}
 		if got := formingTimedOut(view, one.running); got != one.want {
 			t.Errorf("%s: got %t, want %t", name, got, one.want)
 		}
