Replace all lines of a header field that the system owns

Cause: the HTTP library's Set replaces the first line of a name and leaves the others, and its Peek returns the first one. The node took the first line of a field for the field. Ruled out: a line added behind the caller's (a single line of the caller's is replaced).

Change: internal/headereditor has one function that replaces all lines, ones that read a single-valued field and say what several lines mean, and one that removes what concerns one connection only. They are used on every hop: caller to entry, entry to node, node to upstream and back. A request id, time limit or idempotency key in two lines is refused with 400, an answer with two ids or two seals is no answer (502), fields named in any line of Connection go no further, also those of answers, and an upstream can't write the headers in which nodes tell each other of refusals: such an answer was told as not run though it had run. Transfer-Encoding other than chunked is refused.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
@@ -107,7 +108,7 @@
 
 // isAuthorized reports whether the request has the administration token. The comparison takes constant time.
 func (a *Administrator) isAuthorized(ctx *fasthttp.RequestCtx) bool {
-	token, found := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	token, found := strings.CutPrefix(headereditor.OnlyOrNone(&ctx.Request.Header, fasthttp.HeaderAuthorization), "Bearer ")
 	return found && subtle.ConstantTimeCompare([]byte(token), a.token) == 1
 }
 
@@ -227,19 +228,19 @@
 		return nil, false, err
 	}
 	change = &replicator.Change{
-		Author:   string(ctx.Request.Header.Peek(HeaderAuthor)),
-		ID:       string(ctx.Request.Header.Peek(HeaderChangeID)),
+		Author:   headereditor.Joined(&ctx.Request.Header, HeaderAuthor),
+		ID:       headereditor.OnlyOrNone(&ctx.Request.Header, HeaderChangeID),
 		Replicas: Replicas(document),
 		Text:     text,
 		Time:     time.Now().UTC(),
 	}
 	if change.ID == "" {
-		return nil, false, fmt.Errorf("%w: want a %s header", errPrecondition, HeaderChangeID)
+		return nil, false, fmt.Errorf("%w: want one %s header", errPrecondition, HeaderChangeID)
 	}
-	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == "*" {
+	if headereditor.OnlyOrNone(&ctx.Request.Header, fasthttp.HeaderIfNoneMatch) == "*" {
 		return change, true, nil
 	}
-	change.Base, err = ParseETag(string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)))
+	change.Base, err = ParseETag(headereditor.OnlyOrNone(&ctx.Request.Header, fasthttp.HeaderIfMatch))
 	if err != nil {
 		return nil, false, errPrecondition
 	}
--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 	"github.com/marigoldrelay/marigoldrelay/internal/recorder"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
@@ -166,16 +167,16 @@
 		return err
 	}
 	encoded := base64.RawStdEncoding.AppendEncode(nil, data)
-	out.Header.SetBytesV(headerAttempt, encoded)
-	out.Header.Set(headerSignature, key.Hex(purposeAttempt, encoded, out.Header.Method(), out.Header.RequestURI(), bodyHash(out)))
+	headereditor.Replace(&out.Header, headerAttempt, string(encoded))
+	headereditor.Replace(&out.Header, headerSignature, key.Hex(purposeAttempt, encoded, out.Header.Method(), out.Header.RequestURI(), bodyHash(out)))
 	return nil
 }
 
 // ReadAttempt verifies the signature of a request from a peer, removes the attempt's headers from it and returns the
 // attempt. The error wraps ErrUnsigned, except for an attempt that is signed but not valid base64.
 func ReadAttempt(key *signer.Signer, req *fasthttp.Request) (*Attempt, error) {
-	encoded := req.Header.Peek(headerAttempt)
-	signature := string(req.Header.Peek(headerSignature))
+	encoded := []byte(headereditor.OnlyOrNone(&req.Header, headerAttempt))
+	signature := headereditor.OnlyOrNone(&req.Header, headerSignature)
 	if !key.VerifyHex(signature, purposeAttempt, encoded, req.Header.Method(), req.Header.RequestURI(), bodyHash(req)) {
 		return nil, ErrUnsigned
 	}
@@ -274,10 +275,15 @@
 		typed := refuser.Refusal(wire)
 		outcome.Refusal = &typed
 	}
+	RemoveOutcome(resp)
+	return outcome, true
+}
+
+// RemoveOutcome removes the headers that hold an outcome, also those that an upstream has written.
+func RemoveOutcome(resp *fasthttp.Response) {
 	for _, name := range []string{headerArrived, headerCondition, headerEcho, headerLoad, headerUsed, headerSpent, headerRefusal} {
 		resp.Header.Del(name)
 	}
-	return outcome, true
 }
 
 // minLoadFields is the number of numbers in a load header without a start delay, which nodes leave out if it is zero.
--- a/internal/carrier/context.go
+++ b/internal/carrier/context.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 )
 
@@ -47,13 +48,13 @@
 	// The fields are plain strings, numbers and a time, which always encode.
 	body, _ := json.Marshal(inherited)
 	text := base64.RawURLEncoding.EncodeToString(body)
-	req.Header.Set(HeaderContext, text+"."+key.Hex(purposeContext, []byte(text)))
+	headereditor.Replace(&req.Header, HeaderContext, text+"."+key.Hex(purposeContext, []byte(text)))
 }
 
-// ReadContext returns the context in the request's headers. It reports false if the context is missing, has no valid
-// signature or can't be decoded.
+// ReadContext returns the context in the request's headers. It reports false if the context is missing, occurs in several
+// lines, has no valid signature or can't be decoded.
 func ReadContext(key *signer.Signer, req *fasthttp.Request) (Context, bool) {
-	header := string(req.Header.Peek(HeaderContext))
+	header := headereditor.OnlyOrNone(&req.Header, HeaderContext)
 	text, signature, found := strings.Cut(header, ".")
 	if !found || !key.VerifyHex(signature, purposeContext, []byte(text)) {
 		return Context{}, false
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -153,6 +153,8 @@
 
 // Interpreter parses the request headers that callers set.
 type Interpreter interface {
+	// EndToEnd returns the names of the fields that are passed on even if the sender names them in Connection.
+	EndToEnd() []string
 	ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error)
 }
 
@@ -228,7 +230,7 @@
 		return call, refuser.NewWithRetryAfter(refuser.ReasonNoDocument, noUpstreamRetry, "no configuration is in force yet")
 	}
 	inherited, nested := d.ReadContext(req)
-	stripHeaders(req)
+	stripHeaders(req, d.Interpreter.EndToEnd())
 	route := table.matcher.Match(string(req.Header.Host()), string(req.Header.Method()), requestPath(req))
 	if route == nil {
 		return call, refuser.New(refuser.ReasonNoRoute, "no route for this host, method and path")
--- a/internal/dispatcher/headers.go
+++ b/internal/dispatcher/headers.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 )
 
@@ -20,35 +21,25 @@
 
 // hopByHop are the headers that are not forwarded beyond one hop (RFC 9110, section 7.6.1).
 var hopByHop = []string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Upgrade",
 }
 
-// stripHeaders removes hop-by-hop headers, those named in Connection, and headers that only nodes may set.
-func stripHeaders(req *fasthttp.Request) {
-	for _, name := range strings.Split(string(req.Header.Peek("Connection")), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			req.Header.Del(name)
-		}
-	}
-	for _, name := range hopByHop {
-		req.Header.Del(name)
-	}
-	var nodeHeaders []string
-	for name := range req.Header.All() {
-		if strings.HasPrefix(strings.ToLower(string(name)), strings.ToLower(carrier.HeaderPrefix)) {
-			nodeHeaders = append(nodeHeaders, string(name))
-		}
-	}
-	for _, name := range nodeHeaders {
-		req.Header.Del(name)
-	}
+// stripHeaders removes hop-by-hop headers, those named in Connection, and headers that only nodes may set. Host and the
+// kept ones stay.
+func stripHeaders(req *fasthttp.Request, kept []string) {
+	headereditor.RemoveHop(&req.Header, hopByHop, append([]string{fasthttp.HeaderHost}, kept...))
+	headereditor.RemovePrefixed(&req.Header, carrier.HeaderPrefix)
 }
 
 // readIdempotencyKey reads the idempotency key without surrounding quotes and spaces. It returns a refusal if the
-// key is longer than maxKeyBytes.
+// key occurs in several lines or is longer than maxKeyBytes.
 func (c *Call) readIdempotencyKey(req *fasthttp.Request) *refuser.Refusal {
-	c.Key = strings.Trim(string(req.Header.Peek(HeaderIdempotencyKey)), `" `)
+	key, err := headereditor.Only(&req.Header, HeaderIdempotencyKey)
+	if err != nil {
+		return refuser.New(refuser.ReasonBadRequest, err.Error())
+	}
+	c.Key = strings.Trim(key, `" `)
 	if len(c.Key) > maxKeyBytes {
 		return refuser.New(refuser.ReasonBadRequest, "the idempotency key is longer than 255 bytes")
 	}
--- a/internal/forwarder/idle.go
+++ b/internal/forwarder/idle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 )
 
 // keepAliveFraction is the fraction of the server's Keep-Alive timeout for which an idle connection is reused.
@@ -14,19 +16,24 @@
 // maxKeepAliveSeconds is the longest timeout of a Keep-Alive header that is followed; a longer one is no limit.
 const maxKeepAliveSeconds = 1e6
 
-// keepAliveTimeout returns how long the connection may be idle according to the Keep-Alive header of the response, or
-// zero if the header gives no timeout.
+// keepAliveTimeout returns how long the connection may be idle according to the Keep-Alive header of the response: the
+// shortest time in any of its lines, or zero if it gives no timeout.
 func keepAliveTimeout(resp *fasthttp.Response) time.Duration {
-	for parameter := range strings.SplitSeq(string(resp.Header.Peek(fasthttp.HeaderKeepAlive)), ",") {
+	var shortest time.Duration
+	for parameter := range strings.SplitSeq(headereditor.Joined(&resp.Header, fasthttp.HeaderKeepAlive), ",") {
 		text, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
 		if !ok {
 			continue
 		}
-		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
-			return time.Duration(keepAliveFraction * seconds * float64(time.Second))
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || seconds < 0 || seconds > maxKeepAliveSeconds {
+			continue
+		}
+		if timeout := time.Duration(keepAliveFraction * seconds * float64(time.Second)); shortest == 0 || timeout < shortest {
+			shortest = timeout
 		}
 	}
-	return 0
+	return shortest
 }
 
 // acquire returns a reusable idle connection or dials a new one. It closes idle connections that can't be reused.
--- a/internal/interpreter/conditions.go
+++ b/internal/interpreter/conditions.go
@@ -1,6 +1,7 @@
 package interpreter
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -32,11 +33,16 @@
 // ReadConditions returns the conditions in the headers with the given names.
 func ReadConditions(header *fasthttp.ResponseHeader, rateLimitName, leavingName string) Conditions {
 	return Conditions{
-		Leaving:   string(header.Peek(leavingName)) == leavingValue,
+		Leaving:   isLeaving(header.PeekAll(leavingName)),
 		RateLimit: parseRateLimit(header.PeekAll(rateLimitName)),
 	}
 }
 
+// isLeaving reports whether one of the values of the header says that the upstream leaves.
+func isLeaving(values [][]byte) bool {
+	return slices.ContainsFunc(values, func(value []byte) bool { return string(value) == leavingValue })
+}
+
 // parseRateLimit parses the values of a rate limit's header: one decimal number of requests per second, above zero.
 func parseRateLimit(values [][]byte) RateLimit {
 	if len(values) == 0 {
--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 )
 
 // ErrInvalid is wrapped by the error for a header with an invalid value.
@@ -86,10 +88,13 @@
 type Native struct{}
 
 // ReadRequest returns the metadata of a caller's request, of which only the timeout has a header. The error wraps
-// ErrInvalid if the timeout is not above 0 and below 1,000,000 seconds.
+// ErrInvalid if the timeout is not above 0 and below 1,000,000 seconds, or occurs in several lines.
 func (Native) ReadRequest(header *fasthttp.RequestHeader) (Request, error) {
 	request := Request{}
-	text := string(header.Peek(HeaderTimeout))
+	text, err := headereditor.Only(header, HeaderTimeout)
+	if err != nil {
+		return request, merry.Prepend(ErrInvalid, err.Error())
+	}
 	if text == "" {
 		return request, nil
 	}
@@ -101,23 +106,31 @@
 	return request, nil
 }
 
-// WriteHop sets the headers of a request to an upstream: the instance unless it is empty, and the timeout.
+// EndToEnd returns the names of the fields that are passed on even if the sender names them in Connection.
+func (Native) EndToEnd() []string {
+	return []string{HeaderRequest, HeaderNotRun}
+}
+
+// WriteHop sets the headers of a request to an upstream, the instance unless it is empty and the timeout, and replaces all
+// lines of them that the caller has sent.
 func (Native) WriteHop(header *fasthttp.RequestHeader, hop Hop) {
+	header.Del(HeaderInstance)
 	if hop.Instance != "" {
 		header.Set(HeaderInstance, hop.Instance)
 	}
-	header.Set(HeaderTimeout, strconv.FormatFloat(hop.Timeout.Seconds(), 'f', 3, 64))
+	headereditor.Replace(header, HeaderTimeout, strconv.FormatFloat(hop.Timeout.Seconds(), 'f', 3, 64))
 }
 
-// ReadAnswer returns the metadata of an upstream's response.
+// ReadAnswer returns the metadata of an upstream's response. Several ids are the id of no request, and several loads are
+// none.
 func (Native) ReadAnswer(header *fasthttp.ResponseHeader) Answer {
 	answer := Answer{
 		Conditions: ReadConditions(header, HeaderRateLimit, HeaderLeaving),
-		ID:         string(header.Peek(HeaderRequest)),
-		Instance:   string(header.Peek(HeaderInstance)),
-		NotRun:     string(header.Peek(HeaderNotRun)) == "true",
+		ID:         headereditor.Joined(header, HeaderRequest),
+		Instance:   headereditor.Joined(header, HeaderInstance),
+		NotRun:     headereditor.OnlyOrNone(header, HeaderNotRun) == "true",
 	}
-	answer.Load, answer.HasLoad = ParseLoad(string(header.Peek(HeaderLoad)))
+	answer.Load, answer.HasLoad = ParseLoad(headereditor.OnlyOrNone(header, HeaderLoad))
 	return answer
 }
 
--- a/internal/listener/request.go
+++ b/internal/listener/request.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 )
 
@@ -21,6 +23,9 @@
 	if len(x.request.Header.RawHeaders()) > limits.MaxHeaderBytes {
 		return x, &fasthttp.ErrSmallBuffer{}
 	}
+	if hasUnknownLength(&x.request.Header) {
+		return x, errTransferEncoding
+	}
 	if err := c.readBody(x.request, limits.MaxBodyBytes); err != nil {
 		return x, err
 	}
@@ -29,6 +34,27 @@
 	return x, nil
 }
 
+// errTransferEncoding is the error for a request whose Transfer-Encoding is not chunked.
+var errTransferEncoding = merry.Sentinel("transfer-encoding: want chunked")
+
+// chunkedLength is the content length that the HTTP library gives for a chunked body.
+const chunkedLength = -1
+
+// hasUnknownLength reports whether the request has a Transfer-Encoding other than chunked, which says nothing of where the
+// body ends (RFC 9112, section 6.3).
+func hasUnknownLength(header *fasthttp.RequestHeader) bool {
+	if header.ContentLength() == chunkedLength {
+		return false
+	}
+	for line := range bytes.Lines(header.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+			return true
+		}
+	}
+	return false
+}
+
 // isLastOfDrain reports whether a request that was read is the last one for which a draining listener keeps the
 // connection open.
 func (c *conn) isLastOfDrain() bool {
--- a/internal/relayer/options.go
+++ b/internal/relayer/options.go
@@ -13,6 +13,7 @@
 
 // Interpreter reads and writes the headers that are exchanged with callers and upstreams.
 type Interpreter interface {
+	EndToEnd() []string
 	FormatRetryAfter(d time.Duration) string
 	ReadAnswer(header *fasthttp.ResponseHeader) interpreter.Answer
 	ReadRequest(header *fasthttp.RequestHeader) (interpreter.Request, error)
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -11,8 +11,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
+	"github.com/marigoldrelay/marigoldrelay/internal/headereditor"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
@@ -136,7 +138,7 @@
 }
 
 // checkAnswer uses what the upstream reports in the headers of its answer to a request, and removes the headers that
-// concern only its connection. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed)
+// concern only its connection or that only nodes may set. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed)
 // or that the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
 func (u *localUpstream) checkAnswer(resp *fasthttp.Response, answer interpreter.Answer, request sentRequest) error {
 	if answer.HasLoad {
@@ -161,13 +163,14 @@
 	case answer.Unsealed:
 		return forwarder.ErrForeign
 	}
-	resp.Header.ResetConnectionClose()
-	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Trailer", "Transfer-Encoding", "Upgrade"} {
-		resp.Header.Del(name)
-	}
+	headereditor.RemoveHop(&resp.Header, answerHopByHop, u.interpreter.EndToEnd())
+	carrier.RemoveOutcome(resp)
 	return nil
 }
 
+// answerHopByHop are the headers of answers that are not forwarded beyond one hop (RFC 9110, section 7.6.1).
+var answerHopByHop = []string{"Keep-Alive", "Proxy-Authenticate", "Trailer", "Transfer-Encoding", "Upgrade"}
+
 // IsDown implements executor.Upstream. The process is down if another instance has announced itself or if nothing
 // listens at the address any more.
 func (u *localUpstream) IsDown(ctx context.Context, instance string) bool {
