Count crashes by process, so that a request that crashes an instance again and again is barred

Cause: a process was known by its instance. A node took each crash of the id of the last one for reported; the crash counter of a request was a map by instance.

Ruled out: suspicions that are forgotten when the process starts again; nothing ends them but time.

Change: announcer.Process (instance and start) is the identity in all signatures. Since an upstream can name no start, the same one or an earlier one, the node beside it numbers the runs that it sees, and a crash is named by run and reporter. In-flight and safe requests belong to a run. Losses that seem to be no crash count if another process is announced without an answer in between. MarkDown compares processes and ends the lease, so that one whose clock was set back is not shut out; connections are not kept for another process. All live nodes of the service hear of a crash, also those whose upstream is gone, and others up to three, which tell a restarted node.

--- a/internal/carrier/condition.go
+++ b/internal/carrier/condition.go
@@ -27,9 +27,14 @@
 	return c.RateLimit == 0 && !c.Leaving
 }
 
+// Process returns the process whose condition it is.
+func (c *UpstreamCondition) Process() announcer.Process {
+	return announcer.Process{Born: c.Born, Instance: c.Instance}
+}
+
 // IsOf reports whether the condition is that of the announced process, as far as is known.
 func (c *UpstreamCondition) IsOf(a announcer.Announcement) bool {
-	return a.IsSameProcess(announcer.Announcement{Instance: c.Instance, Born: c.Born})
+	return a.Process().IsSame(c.Process())
 }
 
 // writeCondition writes the condition into the headers of a peer's response, unless it is nil.
--- a/internal/executor/conditions.go
+++ b/internal/executor/conditions.go
@@ -31,10 +31,9 @@
 // NamedConditions are the conditions in one response of an instance.
 type NamedConditions struct {
 	interpreter.Conditions
-	// Instance and Born identify the process as in its announcement; a Born of zero is not known.
-	Instance string
-	Born     int64
-	Kind     ResponseKind
+	// Process is that which has responded.
+	Process announcer.Process
+	Kind    ResponseKind
 	// SentAt is when the request was sent.
 	SentAt time.Time
 }
@@ -64,7 +63,7 @@
 		e.OnConditions(named)
 	}
 	if named.Leaving {
-		e.OnUpstreamLeaving(named.Instance, named.Born)
+		e.OnUpstreamLeaving(named.Process)
 	}
 }
 
@@ -72,8 +71,7 @@
 func (e *Executor) recordConditions(named *NamedConditions) (changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	process := announcer.Announcement{Instance: named.Instance, Born: named.Born}
-	if !process.IsSameProcess(e.announcement) {
+	if !named.Process.IsSame(e.announcement.Process()) {
 		return false
 	}
 	now := e.Clock.Now()
@@ -129,7 +127,7 @@
 		}
 		e.Meter.Event("conditions_adopted")
 		if told[i].Leaving {
-			e.OnUpstreamLeaving(told[i].Instance, told[i].Born)
+			e.OnUpstreamLeaving(told[i].Process())
 		}
 	}
 }
@@ -152,7 +150,7 @@
 	e.conditions.born = told.Born
 	now := e.Clock.Now()
 	e.updateRateLimit(now, &NamedConditions{
-		Conditions: interpreter.Conditions{RateLimit: limit}, Instance: told.Instance, Kind: ResponseAnswer, SentAt: now,
+		Conditions: interpreter.Conditions{RateLimit: limit}, Process: told.Process(), Kind: ResponseAnswer, SentAt: now,
 	})
 	return true
 }
@@ -192,7 +190,7 @@
 	if e.conditions.born != 0 {
 		told.Born = e.conditions.born
 	}
-	return !a.IsSameProcess(e.announcement) || !a.IsSameProcess(told)
+	return !a.Process().IsSame(e.announcement.Process()) || !a.Process().IsSame(told.Process())
 }
 
 // resetConditions forgets what the upstream has named, for a new process. It is called with mu held.
--- a/internal/executor/conditions_test.go
+++ b/internal/executor/conditions_test.go
@@ -60,7 +60,10 @@
 				Born: response.Announced, Instance: cmp.Or(response.Instance, m.name), Service: testService, Slots: testSlots, State: announcer.StateReady,
 			})
 		} else {
-			named := NamedConditions{Instance: cmp.Or(response.Instance, m.name), Born: response.Born, Kind: response.Kind, SentAt: time.Now().Add(-10 * time.Millisecond)}
+			named := NamedConditions{
+				Process: announcer.Process{Born: response.Born, Instance: cmp.Or(response.Instance, m.name)},
+				Kind:    response.Kind, SentAt: time.Now().Add(-10 * time.Millisecond),
+			}
 			if response.Sent != 0 {
 				named.SentAt = started.Add(response.Sent.Std())
 			}
@@ -84,7 +87,7 @@
 		m := newGroup(t, 1, true, 1, 1e9, testDocument(time.Second)).members[0]
 		m.UpdateLoad(interpreter.Load{Slots: testSlots, Slowdown: 1})
 		probe := NamedConditions{
-			Conditions: interpreter.Conditions{RateLimit: interpreter.RateLimit{PerSecond: 10}}, Instance: m.name, Kind: ResponseProbe,
+			Conditions: interpreter.Conditions{RateLimit: interpreter.RateLimit{PerSecond: 10}}, Process: announcer.Process{Instance: m.name}, Kind: ResponseProbe,
 		}
 		time.Sleep(time.Second)
 		m.ObserveConditions(probe)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,8 +86,8 @@
 	// Do sends the request once and stores the answer in resp. The error wraps an error of package
 	// forwarder, ErrMisdirected or ErrShed.
 	Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
-	// IsDown reports whether the instance's process is gone. It is called after a connection was lost.
-	IsDown(ctx context.Context, instance string) bool
+	// IsDown reports whether the process is gone. It is called after a connection was lost.
+	IsDown(ctx context.Context, process announcer.Process) bool
 }
 
 // Execution is an attempt to run, with its request, the response to fill and its deadline.
@@ -127,13 +127,17 @@
 	Name       string
 	// OnConditions is called when the conditions in the upstream's responses have changed; it can be nil.
 	OnConditions func(named NamedConditions)
-	// OnUpstreamDown is called with the upstream's instance when its process is gone.
-	OnUpstreamDown func(instance string)
-	// OnUpstreamLeaving is called with the upstream's instance, and when it was born if an entry node has told that, when it
-	// names itself leaving. It can be called repeatedly.
-	OnUpstreamLeaving func(instance string, born int64)
-	Quarantiner       *quarantiner.Quarantiner
-	Recorder          *recorder.Recorder
+	// OnCrash is called with each crash of the upstream before it is reported; it can be nil.
+	OnCrash func(crash *quarantiner.Crash)
+	// OnUpstreamDown is called with the upstream's process when it is gone.
+	OnUpstreamDown func(process announcer.Process)
+	// OnUpstreamLeaving is called with the upstream's process, which an entry node may have told, when it names itself
+	// leaving. It can be called repeatedly.
+	OnUpstreamLeaving func(process announcer.Process)
+	// ProcessName identifies the process of this node among all nodes and starts.
+	ProcessName string
+	Quarantiner *quarantiner.Quarantiner
+	Recorder    *recorder.Recorder
 	// Repeats limits how many repeated requests reach the upstream.
 	Repeats  *budgeter.Repeats
 	Sender   Sender
@@ -147,9 +151,8 @@
 type Executor struct {
 	Config
 
-	document         atomic.Pointer[validator.Document]
-	draining         atomic.Bool
-	safeFingerprints *quarantiner.SafeFingerprints
+	document atomic.Pointer[validator.Document]
+	draining atomic.Bool
 	// stopped is cancelled by stop when running requests are to end.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -158,31 +161,33 @@
 	announcement announcer.Announcement
 	// conditions are those that the current process of the upstream has named.
 	conditions upstreamConditions
-	crash      *crashReport
 	grants     map[uint64]*scheduler.Waiter
-	inFlight   map[*Execution]quarantiner.Fingerprint
+	inFlight   map[*Execution]runningRequest
 	lastGrant  uint64
 	limit      *limiter.Limiter
 	load       loadReport
 	notices    loadNotices
 	schedule   *scheduler.Scheduler
 	retrySpent map[string]time.Time
+	// upstreamRun is the current process of the upstream.
+	upstreamRun *upstreamRun
 }
 
 // New returns an executor whose upstream is gone until HandleAnnouncement is called.
 func New(config Config) *Executor {
 	stopped, stop := context.WithCancel(context.Background())
+	gone := announcer.Announcement{State: announcer.StateGone}
 	return &Executor{
-		stopped:          stopped,
-		stop:             stop,
-		Config:           config,
-		announcement:     announcer.Announcement{State: announcer.StateGone},
-		grants:           make(map[uint64]*scheduler.Waiter),
-		inFlight:         make(map[*Execution]quarantiner.Fingerprint),
-		limit:            limiter.New(1),
-		safeFingerprints: quarantiner.NewSafeFingerprints(),
-		schedule:         scheduler.New(0, scheduler.Config{}, pacer.New(config.Clock.Now(), config.LimitSettleTime)),
-		retrySpent:       make(map[string]time.Time),
+		stopped:      stopped,
+		stop:         stop,
+		Config:       config,
+		announcement: gone,
+		grants:       make(map[uint64]*scheduler.Waiter),
+		inFlight:     make(map[*Execution]runningRequest),
+		limit:        limiter.New(1),
+		schedule:     scheduler.New(0, scheduler.Config{}, pacer.New(config.Clock.Now(), config.LimitSettleTime)),
+		retrySpent:   make(map[string]time.Time),
+		upstreamRun:  newUpstreamRun(0, gone),
 	}
 }
 
@@ -208,12 +213,20 @@
 // resets the limit and the repeat budget; a new process resets the load report and the conditions. A process that is new
 // or becomes ready restarts the limiter. Announcements are ignored after Drain.
 func (e *Executor) HandleAnnouncement(a announcer.Announcement) {
+	if missed := e.applyAnnouncement(a); missed != nil {
+		go e.publishCrash(context.Background(), missed)
+	}
+}
+
+// applyAnnouncement returns the crash of a process that was noticed only by its successor, or nil.
+func (e *Executor) applyAnnouncement(a announcer.Announcement) (missed *quarantiner.Crash) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining.Load() {
-		return
+		return nil
 	}
-	old, isNew := e.announcement, e.isNewProcess(a)
+	old := e.announcement
+	isNew, missed := e.trackRun(a, e.isNewProcess(a))
 	e.announcement = a
 	if isNew {
 		e.load = loadReport{}
@@ -229,6 +242,7 @@
 		e.limit.Restart()
 	}
 	e.applyLimit()
+	return missed
 }
 
 // applyLimit sets the scheduler's slots to the current limit. An upstream that is not ready or leaves gets no slots,
--- a/internal/executor/harness_test.go
+++ b/internal/executor/harness_test.go
@@ -85,8 +85,8 @@
 			LoadProber:        m,
 			Meter:             meter.New(),
 			Name:              m.name,
-			OnUpstreamDown:    func(string) {},
-			OnUpstreamLeaving: func(string, int64) {},
+			OnUpstreamDown:    func(announcer.Process) {},
+			OnUpstreamLeaving: func(announcer.Process) {},
 			Quarantiner:       quarantiner.New(clock, nil),
 			Recorder:          recorder.New(clock),
 			Repeats:           budgeter.NewRepeats(clock, func() budgeter.RepeatLimits { return budgeter.RepeatLimits{Window: time.Second} }),
@@ -286,7 +286,7 @@
 }
 
 // IsDown implements Upstream.
-func (m *member) IsDown(context.Context, string) bool {
+func (m *member) IsDown(context.Context, announcer.Process) bool {
 	return m.down.Load()
 }
 
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -15,6 +15,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/scheduler"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 const (
@@ -36,7 +37,7 @@
 		e.release(w)
 		return carrier.Outcome{Refusal: refuser.New(refuser.ReasonQuarantined, "another request that was part of a crash runs here")}
 	}
-	if atStart.instance == "" {
+	if atStart.run == nil {
 		e.release(w)
 		return carrier.Outcome{Refusal: e.goneRefusal(x)}
 	}
@@ -54,7 +55,7 @@
 	out := &fasthttp.Request{}
 	x.Request.Header.CopyTo(&out.Header)
 	out.SetBodyRaw(x.Request.Body())
-	e.AddContext(&x.Attempt, out, atStart.instance, x.Deadline)
+	e.AddContext(&x.Attempt, out, atStart.process.Instance, x.Deadline)
 	started := e.markSent(w)
 	err := e.Upstream.Do(ctx, out, x.Response, x.Deadline)
 	upstreamTime := e.Clock.Now().Sub(started)
@@ -65,7 +66,7 @@
 		undo()
 	}
 	if err != nil {
-		outcome.Refusal = e.refusalFor(ctx, atStart.instance, err)
+		outcome.Refusal = e.refusalFor(ctx, x, &atStart, err)
 		outcome.Lost = x.Attempt.Idempotent && !outcome.Refusal.IsNotRun()
 		x.Response.Reset()
 	}
@@ -92,9 +93,11 @@
 // other nodes of the service are notified.
 func (e *Executor) clearSuspicion(x *Execution) {
 	e.mu.Lock()
-	fingerprint := e.inFlight[x]
+	request := e.inFlight[x]
+	clear(request.run.lost)
 	e.mu.Unlock()
-	e.safeFingerprints.Add(fingerprint)
+	fingerprint := request.fingerprint
+	request.run.safe.Add(fingerprint)
 	if e.Quarantiner.IsEmpty() {
 		return
 	}
@@ -105,8 +108,9 @@
 
 // startState is the state of the upstream when a request started to run there.
 type startState struct {
-	// instance is empty where the upstream now serves another service or leaves.
-	instance string
+	process announcer.Process
+	// run is nil where the upstream now serves another service or leaves.
+	run *upstreamRun
 	// running is the number of running requests, including this one.
 	running int
 	// steady is true where the VM was running at its usual speed.
@@ -126,7 +130,7 @@
 // registerRun registers the attempt as in flight. It reports false when both this request and another one in
 // flight are crash suspects: suspects with different fingerprints don't run at the same time, so that the
 // next crash shows which of them caused it. If the upstream now serves another service or leaves, nothing is
-// registered and the instance in atStart is empty.
+// registered and the run in atStart is nil.
 func (e *Executor) registerRun(x *Execution) (atStart startState, admitted bool) {
 	fingerprint := e.fingerprint(x)
 	e.mu.Lock()
@@ -136,13 +140,15 @@
 	}
 	if e.Quarantiner.IsSuspect(fingerprint) {
 		for _, other := range e.inFlight {
-			if other != fingerprint && e.Quarantiner.IsSuspect(other) {
+			if other.fingerprint != fingerprint && e.Quarantiner.IsSuspect(other.fingerprint) {
 				return startState{}, false
 			}
 		}
 	}
-	e.inFlight[x] = fingerprint
-	return startState{instance: e.announcement.Instance, running: e.schedule.Running(), steady: e.isSteady()}, true
+	e.inFlight[x] = runningRequest{fingerprint: fingerprint, run: e.upstreamRun}
+	return startState{
+		process: e.announcement.Process(), run: e.upstreamRun, running: e.schedule.Running(), steady: e.isSteady(),
+	}, true
 }
 
 // goneRefusal returns the refusal of an attempt whose upstream was replaced or leaves.
@@ -199,17 +205,17 @@
 
 // refusalFor converts an error of Upstream.Do into a refusal. It reports the upstream as down or crashed where
 // the error indicates that.
-func (e *Executor) refusalFor(ctx context.Context, instance string, err error) *refuser.Refusal {
+func (e *Executor) refusalFor(ctx context.Context, x *Execution, atStart *startState, err error) *refuser.Refusal {
 	switch {
 	case errors.Is(err, forwarder.ErrNotSent):
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			e.OnUpstreamDown(instance)
+			e.reportRefused(ctx, atStart.run)
 		}
 		return refuser.New(refuser.ReasonNoUpstream, "the upstream takes no connection")
 	case errors.Is(err, ErrShed):
 		return refuser.NewWithRetryAfter(refuser.ReasonShed, sweepInterval, "the upstream has no room")
 	case errors.Is(err, ErrMisdirected):
-		e.OnUpstreamDown(instance)
+		e.OnUpstreamDown(atStart.process)
 		return refuser.New(refuser.ReasonNoUpstream, "another instance has the upstream's address")
 	case errors.Is(err, forwarder.ErrTimeout):
 		return refuser.NewPossiblyRun(refuser.ReasonDeadline, "the upstream did not answer before the deadline")
@@ -222,56 +228,11 @@
 	case errors.Is(err, forwarder.ErrNoLength):
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer has no length")
 	default:
-		e.reportCrash(ctx, instance)
+		e.reportLoss(ctx, x)
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamLost, "the upstream closed the connection before its whole answer")
 	}
 }
 
-// crashReport is the report of one crash. The channel done is closed when the report has been sent to the
-// service's nodes, or turned out not to be needed.
-type crashReport struct {
-	done     chan struct{}
-	instance string
-}
-
-// reportCrash reports to the service's nodes which requests were running when the upstream's process
-// crashed, except those known to have run without a crash before. It returns after the report, so that a retry
-// of a request reaches nodes that know of the crash.
-func (e *Executor) reportCrash(ctx context.Context, instance string) {
-	e.mu.Lock()
-	report := e.crash
-	isReporter := report == nil || report.instance != instance
-	if isReporter {
-		report = &crashReport{done: make(chan struct{}), instance: instance}
-		e.crash = report
-	}
-	crash := quarantiner.Crash{Instance: instance, Service: e.announcement.Service}
-	for _, fingerprint := range e.inFlight {
-		if !e.safeFingerprints.Has(fingerprint) {
-			crash.Fingerprints = append(crash.Fingerprints, fingerprint)
-		}
-	}
-	e.mu.Unlock()
-	if !isReporter {
-		<-report.done
-		return
-	}
-	defer close(report.done)
-	if !e.Upstream.IsDown(ctx, instance) {
-		e.mu.Lock()
-		e.crash = nil
-		e.mu.Unlock()
-		return
-	}
-	e.Meter.Event("upstream_crashes")
-	e.OnUpstreamDown(instance)
-	if len(crash.Fingerprints) == 0 {
-		return
-	}
-	e.Quarantiner.Report(crash)
-	e.Links.ReportCrash(ctx, crash)
-}
-
 // FindRunning returns the running attempt of a call, looked up by the call's id or by the request id that its
 // caller gave it. Empty ids match nothing.
 func (e *Executor) FindRunning(call, request string) (carrier.Attempt, bool) {
--- a/internal/executor/slow_test.go
+++ b/internal/executor/slow_test.go
@@ -226,7 +226,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := newGroup(t, 1, true, 1, 1e9, testDocument(time.Second)).members[0]
 		m.group.demand = func(string) time.Duration { return 800 * time.Millisecond }
-		crash := quarantiner.Crash{Instance: "crashed", Service: testService}
+		crash := quarantiner.Crash{Process: announcer.Process{Instance: "crashed"}, Service: testService}
 		for _, id := range []string{"first", "second"} {
 			crash.Fingerprints = append(crash.Fingerprints, m.fingerprint(m.newExecution(id, time.Now())))
 		}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -256,7 +256,8 @@
 	}
 	answer := p.interpreter.ReadAnswer(&resp.Header)
 	p.node.ObserveConditions(executor.NamedConditions{
-		Conditions: answer.Conditions, Instance: cmp.Or(answer.Instance, target.Instance), Kind: executor.ResponseProbe, SentAt: sentAt,
+		Conditions: answer.Conditions, Process: announcer.Process{Instance: cmp.Or(answer.Instance, target.Instance)},
+		Kind: executor.ResponseProbe, SentAt: sentAt,
 	})
 	return answer, resp.StatusCode()
 }
--- a/internal/registrar/leaving_test.go
+++ b/internal/registrar/leaving_test.go
@@ -25,11 +25,11 @@
 		}
 	}
 	announce(ready, announcer.StateReady)
-	r.MarkLeaving("another", 0)
-	r.MarkLeaving("i", 99)
+	r.MarkLeaving(announcer.Process{Instance: "another"})
+	r.MarkLeaving(announcer.Process{Instance: "i", Born: 99})
 	announce(ready, announcer.StateReady)
-	r.MarkLeaving("i", 0)
-	r.MarkLeaving("i", 0)
+	r.MarkLeaving(announcer.Process{Instance: "i"})
+	r.MarkLeaving(announcer.Process{Instance: "i"})
 	ready.Sequence++
 	announce(ready, announcer.StateDraining)
 	r.AddDiscovered(announcer.Announcement{Address: "127.0.0.1:1", Instance: "i", Service: "s", Slots: 2, State: announcer.StateReady})
@@ -39,7 +39,7 @@
 	restarted := ready
 	restarted.Born, restarted.Sequence = 200, 0
 	announce(restarted, announcer.StateReady)
-	r.MarkDown("i")
+	r.MarkDown(announcer.Process{Instance: "i"})
 	if len(changes) != 4 {
 		t.Errorf("%d changes were reported, want ready, draining, ready and gone: %v", len(changes), changes)
 	}
--- a/internal/registrar/odd_test.go
+++ b/internal/registrar/odd_test.go
@@ -92,7 +92,7 @@
 // process of the upstream.
 func TestWithdrawalWithOddBornIsForgotten(t *testing.T) {
 	r := New(timekeeper.System{}, func(announcer.Announcement) {})
-	r.Withdraw("i1", math.MaxInt64)
+	r.Withdraw(announcer.Process{Instance: "i1", Born: math.MaxInt64})
 	if _, err := r.Announce(numbered("i2", time.Now().UnixMilli(), 1, announcer.StateReady)); err != nil {
 		t.Error(err)
 	}
--- a/internal/registrar/order_test.go
+++ b/internal/registrar/order_test.go
@@ -52,7 +52,7 @@
 	if _, err := r.Announce(numbered("i1", 100, 1, announcer.StateReady)); err != nil {
 		t.Fatal(err)
 	}
-	r.Withdraw("i1", 0)
+	r.Withdraw(announcer.Process{Instance: "i1"})
 	if _, err := r.Announce(numbered("i1", 100, 2, announcer.StateReady)); !errors.Is(err, ErrOutdated) {
 		t.Errorf("an announcement after the withdrawal: %v", err)
 	}
@@ -60,7 +60,7 @@
 	if state := r.Current().State; state != announcer.StateDraining {
 		t.Errorf("the state of a withdrawn upstream is %s", state)
 	}
-	r.Withdraw("i0", 0)
+	r.Withdraw(announcer.Process{Instance: "i0"})
 	if r.Current().Instance != "i1" {
 		t.Error("the withdrawal of an old process replaced the current one")
 	}
@@ -78,9 +78,28 @@
 	if _, err := r.Announce(numbered("i1", 100, 7, announcer.StateReady)); err != nil {
 		t.Fatal(err)
 	}
-	r.MarkDown("i1")
+	r.MarkDown(announcer.Process{Instance: "i1"})
 	r.AddDiscovered(discovered)
 	if current := r.Current(); current.State != announcer.StateReady || current.Born != 100 {
 		t.Errorf("discovered again: %+v", current)
 	}
 }
+
+// TestProcessAfterOneThatIsDown guards against a process that is shut out for a lease because its clock was set back, and
+// against a late word on an earlier process under the same id that ends the current one.
+func TestProcessAfterOneThatIsDown(t *testing.T) {
+	r := New(timekeeper.System{}, func(announcer.Announcement) {})
+	announce := func(born int64) {
+		t.Helper()
+		if _, err := r.Announce(numbered("i1", born, 1, announcer.StateReady)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(100)
+	r.MarkDown(announcer.Process{Instance: "i1", Born: 100})
+	announce(50)
+	r.MarkDown(announcer.Process{Instance: "i1", Born: 100})
+	if current := r.Current(); current.State != announcer.StateReady || current.Born != 50 {
+		t.Errorf("the current announcement is %+v", current)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -53,7 +53,7 @@
 	// isLeaving is true when the current process has announced that it is shutting down.
 	isLeaving bool
 	// leaving is the last process that has said to the node's callers that it leaves; zero if there was none.
-	leaving announcer.Announcement
+	leaving announcer.Process
 	timer   timekeeper.Timer
 }
 
@@ -160,20 +160,20 @@
 
 // Withdraw records that the upstream's process is shutting down, as reported by the process itself. Its state
 // becomes draining, and its announcements as ready are refused from then on. A zero born matches every start of
-// the instance. The withdrawal of an instance other than the current one is ignored unless the current one is
+// the instance. The withdrawal of a process other than the current one is ignored unless the current one is
 // gone.
-func (r *Registrar) Withdraw(instance string, born int64) {
+func (r *Registrar) Withdraw(process announcer.Process) {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	isCurrent := r.current.Instance == instance && (born == 0 || born == r.current.Born)
+	isCurrent := r.current.Instance == process.Instance && (process.Born == 0 || process.Born == r.current.Born)
 	if !isCurrent && r.current.State != announcer.StateGone {
 		r.mu.Unlock()
 		return
 	}
 	if !isCurrent {
-		r.current.Instance = instance
-		r.current.Born = born
+		r.current.Instance = process.Instance
+		r.current.Born = process.Born
 	}
 	r.isLeaving = true
 	r.current.State = announcer.StateDraining
@@ -183,19 +183,17 @@
 }
 
 // MarkLeaving records that the current process has said in its answers that it leaves. Its state becomes draining and stays
-// so, whatever it announces. A born that is not zero is when the process was born that has said so. It is ignored for a
-// process other than the current one.
-func (r *Registrar) MarkLeaving(instance string, born int64) {
+// so, whatever it announces. It is ignored for a process other than the current one.
+func (r *Registrar) MarkLeaving(process announcer.Process) {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	leaving := announcer.Announcement{Instance: instance, Born: born}
-	if !r.current.IsSameProcess(leaving) {
+	if !r.current.Process().IsSame(process) {
 		r.mu.Unlock()
 		return
 	}
-	leaving.Born = max(born, r.current.Born)
-	r.leaving = leaving
+	process.Born = max(process.Born, r.current.Born)
+	r.leaving = process
 	wasServing := r.current.State != announcer.StateDraining && r.current.State != announcer.StateGone
 	if wasServing {
 		r.current.State = announcer.StateDraining
@@ -209,7 +207,7 @@
 
 // hasSaidLeaving reports whether MarkLeaving has named the announced process. It is called with mu held.
 func (r *Registrar) hasSaidLeaving(a announcer.Announcement) bool {
-	return r.leaving.Instance != "" && a.IsSameProcess(r.leaving)
+	return r.leaving.Instance != "" && a.Process().IsSame(r.leaving)
 }
 
 // AddDiscovered stores an upstream that was discovered without an announcement, unless the current upstream is ready
@@ -229,15 +227,17 @@
 	_, _ = r.Announce(a)
 }
 
-// MarkDown ends the lease of an instance whose process is gone. Its next announcement begins a new lease.
-func (r *Registrar) MarkDown(instance string) {
+// MarkDown ends the lease of a process that is gone. The next announcement begins a new lease, also that of a process
+// with an earlier start, whose clock was set back. It is ignored for a process other than the current one.
+func (r *Registrar) MarkDown(process announcer.Process) {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	if r.current.Instance != instance || r.current.State == announcer.StateGone {
+	if !r.current.Process().IsSame(process) || r.current.State == announcer.StateGone {
 		r.mu.Unlock()
 		return
 	}
+	r.expiresAt = r.clock.Now()
 	r.markGoneAndUnlock()
 }
 
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -36,9 +36,9 @@
 
 // Withdraw records that the upstream's process is about to exit, as reported by the process itself. A zero born
 // stands for any start of the instance.
-func (n *Node) Withdraw(instance string, born int64) {
-	n.log.Info("The upstream says that it goes.", "instance", instance, "born", born)
-	n.registrar.Withdraw(instance, born)
+func (n *Node) Withdraw(process announcer.Process) {
+	n.log.Info("The upstream says that it goes.", "instance", process.Instance, "born", process.Born)
+	n.registrar.Withdraw(process)
 }
 
 // Change makes a version of the document. It returns ErrTooFewReplicas while the register has too few replicas.
--- a/internal/relayer/crashreplay.go
+++ b/internal/relayer/crashreplay.go
@@ -1,7 +1,11 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
@@ -11,10 +15,37 @@
 // its next change.
 const crashReplayQueueLen = 64
 
-// queueCrashReplay queues a member of the node's own service that may not have been running when crashes were
+// minCrashHolders is the number of nodes that are told of a crash. If the service has fewer, nodes of others are told as
+// well, so that one of them can tell a node of the service that was restarted.
+const minCrashHolders = 3
+
+// crashHolders returns the other live nodes that are told of the crashes of a service. A node whose upstream has crashed
+// itself is one of them.
+func (n *Node) crashHolders(service string) []gossiper.Member {
+	var holders, others []gossiper.Member
+	for _, m := range n.gossiper.Members() {
+		switch {
+		case m.Name == n.settings.Name || m.Status > gossiper.StatusSuspect:
+		case m.Service == service:
+			holders = append(holders, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	if len(holders) >= minCrashHolders {
+		return holders
+	}
+	// All nodes of a service choose the same ones, whichever of them sees a crash.
+	slices.SortFunc(others, func(a, b gossiper.Member) int {
+		return cmp.Compare(xxhash.Sum64String(service+"/"+a.Name), xxhash.Sum64String(service+"/"+b.Name))
+	})
+	return append(holders, others[:min(len(others), minCrashHolders-len(holders))]...)
+}
+
+// queueCrashReplay queues a member whose service has known crashes, and that may not have been running when these were
 // reported.
 func (n *Node) queueCrashReplay(m gossiper.Member) {
-	if m.Name == n.settings.Name || !m.IsServing() || m.Service != n.service() || n.quarantiner.IsEmpty() {
+	if m.Name == n.settings.Name || !m.IsServing() || !n.quarantiner.KnowsCrashes(m.Service) {
 		return
 	}
 	select {
@@ -47,7 +78,7 @@
 		err := n.messenger.Call(callCtx, m.Control, messenger.PurposeMembership, methodCrash, crash, nil)
 		cancel()
 		if err != nil {
-			n.log.Warn("A known crash could not be sent to a member.", "member", m.Name, "instance", crash.Instance, "error", err)
+			n.log.Warn("A known crash could not be sent to a member.", "member", m.Name, "process", crash.Process, "error", err)
 			return false
 		}
 	}
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 const (
@@ -138,6 +139,16 @@
 	n.events.write(cause == listener.CauseCallerGone, "A request ended without an answer.", "request", id, "cause", cause, "draining", n.draining.Load())
 }
 
+// upstreamCrashed logs a crash of the upstream beside the node.
+func (n *Node) upstreamCrashed(crash *quarantiner.Crash) {
+	n.log.Warn("The upstream has crashed.", "process", crash.Process, "run", crash.Run, "service", crash.Service, "suspects", len(crash.Fingerprints))
+}
+
+// markUpstreamDown tells the registrar that the process of the upstream is gone.
+func (n *Node) markUpstreamDown(process announcer.Process) {
+	n.registrar.MarkDown(process)
+}
+
 // requestQuarantined logs that a kind of request is no longer run because upstreams crashed while it ran.
 func (n *Node) requestQuarantined(fingerprint quarantiner.Fingerprint, upstreams int, d time.Duration) {
 	n.log.Warn("A request is barred: upstreams crashed while it ran.", "fingerprint", fingerprint, "upstreams", upstreams, "for", d)
@@ -181,7 +192,7 @@
 
 // conditionsChanged logs that the conditions in the upstream's responses have changed.
 func (n *Node) conditionsChanged(named executor.NamedConditions) {
-	n.events.write(false, "The conditions of the upstream changed.", "instance", named.Instance, "response", named.Kind,
+	n.events.write(false, "The conditions of the upstream changed.", "instance", named.Process.Instance, "response", named.Kind,
 		"rate-limit", named.RateLimit.PerSecond, "invalid", named.RateLimit.Invalid, "leaving", named.Leaving)
 }
 
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -210,7 +210,7 @@
 	sender := fmt.Sprintf("%s.%x", n.settings.Name, n.incarnation)
 	n.carrier = carrier.New(n.clock, n.secrets.PeerSigner, sender, n.gossiper, n.meter, n.peerOptions...)
 	peers := &peerClient{
-		messenger: n.messenger, self: n.settings.Name, siblings: n.router.Members,
+		messenger: n.messenger, crashHolders: n.crashHolders,
 		sendLoad: func(entries []string, load gossiper.Load) {
 			n.router.ObserveLoad(n.settings.Name, loadFromGossip(load))
 			n.gossiper.SendLoad(entries, load)
@@ -226,8 +226,10 @@
 		Meter:             n.meter,
 		Name:              n.settings.Name,
 		OnConditions:      n.conditionsChanged,
-		OnUpstreamDown:    func(instance string) { n.registrar.MarkDown(instance) },
-		OnUpstreamLeaving: func(instance string, born int64) { n.registrar.MarkLeaving(instance, born) },
+		OnCrash:           n.upstreamCrashed,
+		OnUpstreamDown:    n.markUpstreamDown,
+		OnUpstreamLeaving: func(process announcer.Process) { n.registrar.MarkLeaving(process) },
+		ProcessName:       sender,
 		Quarantiner:       n.quarantiner,
 		Recorder:          n.recorder,
 		Repeats:           budgeter.NewRepeats(n.clock, n.repeatLimits),
--- a/internal/relayer/peerclient.go
+++ b/internal/relayer/peerclient.go
@@ -32,8 +32,8 @@
 // peerClient sends typed messages to other nodes. It implements executor.Links and claimer.OwnerClient.
 type peerClient struct {
 	messenger *messenger.Messenger
-	self      string
-	siblings  func(service string) []gossiper.Member
+	// crashHolders returns the other nodes that are told of the crashes of a service.
+	crashHolders func(service string) []gossiper.Member
 	// sendLoad sends datagrams, some of which may be lost.
 	sendLoad func(entries []string, load gossiper.Load)
 }
@@ -52,12 +52,12 @@
 
 // ReportCrash implements executor.Links.
 func (c *peerClient) ReportCrash(_ context.Context, crash quarantiner.Crash) {
-	c.callSiblings(crash.Service, methodCrash, crash)
+	c.callCrashHolders(crash.Service, methodCrash, crash)
 }
 
 // ReportCleared implements executor.Links.
 func (c *peerClient) ReportCleared(_ context.Context, cleared quarantiner.ClearedSuspect) {
-	c.callSiblings(cleared.Service, methodCleared, cleared)
+	c.callCrashHolders(cleared.Service, methodCleared, cleared)
 }
 
 // SendLoad implements executor.Links.
@@ -84,19 +84,16 @@
 	}
 }
 
-// callSiblings calls a method on the other nodes of a service concurrently and waits at most crashReportTimeout for
-// the answers.
-func (c *peerClient) callSiblings(service, method string, params any) {
+// callCrashHolders calls a method concurrently on the nodes that are told of the crashes of a service, and waits at most
+// crashReportTimeout for the answers.
+func (c *peerClient) callCrashHolders(service, method string, params any) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
-	for _, sibling := range c.siblings(service) {
-		if sibling.Name == c.self {
-			continue
-		}
+	for _, holder := range c.crashHolders(service) {
 		calls.Go(func() {
-			// A sibling that can't be reached now still gets the next report.
-			_ = c.messenger.Call(ctx, sibling.Control, messenger.PurposeMembership, method, params, nil)
+			// A node that can't be reached now still gets the next report.
+			_ = c.messenger.Call(ctx, holder.Control, messenger.PurposeMembership, method, params, nil)
 		})
 	}
 	calls.Wait()
@@ -155,7 +152,7 @@
 		return emptyMessage{}, nil
 	})
 	addHandler(m, methodCrash, func(_ context.Context, p quarantiner.Crash) (emptyMessage, error) {
-		n.log.Warn("An upstream of another node has crashed.", "instance", p.Instance, "service", p.Service, "suspects", len(p.Fingerprints))
+		n.log.Warn("An upstream of another node has crashed.", "process", p.Process, "run", p.Run, "service", p.Service, "suspects", len(p.Fingerprints))
 		n.quarantiner.Report(p)
 		return emptyMessage{}, nil
 	})
--- a/internal/relayer/poison_test.go
+++ b/internal/relayer/poison_test.go
@@ -106,3 +106,38 @@
 		t.Errorf("the poison request got status %d, want 503", status)
 	}
 }
+
+// TestRestartedNodeBarsKnownPoison guards against a request that crashes the one upstream of a service again each time that
+// the node beside it is restarted, because only the nodes of the service were told of crashes.
+func TestRestartedNodeBarsKnownPoison(t *testing.T) {
+	c := newTestCluster(t, 1, responder.Behaviour{ServiceTime: 5 * time.Millisecond, Slots: 12, Steady: true})
+	target := c.Nodes()[1]
+	pool := forwarder.New(c.entry.Settings.CallerAddress, timekeeper.System{})
+	defer pool.Close()
+	startAgain := func() {
+		t.Helper()
+		if err := c.StartUpstream(target); err != nil {
+			t.Fatal(err)
+		}
+		for requestStatus(t, pool, "/entries/harmless", false) != fasthttp.StatusOK {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for range 2 {
+		requestStatus(t, pool, "/entries/poison", true)
+		if !target.Upstream.HasCrashed() {
+			t.Fatal("the upstream has not crashed")
+		}
+		startAgain()
+	}
+	target.Node.Abort()
+	if err := c.StartNode(target); err != nil {
+		t.Fatal(err)
+	}
+	startAgain()
+	// This is within the time for which the users' rule allows such a request to pass.
+	time.Sleep(time.Second)
+	if status := requestStatus(t, pool, "/entries/poison", true); status != fasthttp.StatusServiceUnavailable || target.Upstream.HasCrashed() {
+		t.Errorf("after a restart of the node the request got status %d, and the upstream has crashed: %t", status, target.Upstream.HasCrashed())
+	}
+}
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -33,11 +33,10 @@
 	observer    upstreamObserver
 	options     []forwarder.Option
 
-	mu       sync.Mutex
-	address  netip.AddrPort
-	born     int64
-	instance string
-	pool     *forwarder.Pool
+	mu      sync.Mutex
+	address netip.AddrPort
+	process announcer.Process
+	pool    *forwarder.Pool
 }
 
 // upstreamObserver learns from the upstream's answers.
@@ -52,7 +51,7 @@
 	return &localUpstream{clock: clock, interpreter: i, options: options}
 }
 
-// reconnect replaces the connection pool if the upstream has announced a new address or instance. An invalid address
+// reconnect replaces the connection pool if another process or address of the upstream is announced. An invalid address
 // is ignored.
 func (u *localUpstream) reconnect(a announcer.Announcement) {
 	address, err := netip.ParseAddrPort(a.Address)
@@ -61,38 +60,37 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.born = a.Born
-	if u.pool != nil && u.address == address && u.instance == a.Instance {
+	last := u.process
+	u.process = a.Process()
+	if u.pool != nil && u.address == address && u.process.IsSame(last) {
 		return
 	}
 	if u.pool != nil {
 		u.pool.Close()
 	}
 	u.address = address
-	u.instance = a.Instance
 	u.pool = forwarder.New(address, u.clock, u.options...)
 }
 
-// current returns the connection pool, address and instance of the upstream. The pool is nil before the first
+// current returns the connection pool, address and process of the upstream. The pool is nil before the first
 // announcement.
-func (u *localUpstream) current() (*forwarder.Pool, netip.AddrPort, string) {
+func (u *localUpstream) current() (*forwarder.Pool, netip.AddrPort, announcer.Process) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.pool, u.address, u.instance
+	return u.pool, u.address, u.process
 }
 
 // sentRequest is when a request was sent to which process of the upstream.
 type sentRequest struct {
-	at       time.Time
-	born     int64
-	instance string
+	at      time.Time
+	process announcer.Process
 }
 
 // beginRequest returns the connection pool for a request that is sent now, which is nil before the first announcement.
 func (u *localUpstream) beginRequest() (*forwarder.Pool, sentRequest) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.pool, sentRequest{at: u.clock.Now(), born: u.born, instance: u.instance}
+	return u.pool, sentRequest{at: u.clock.Now(), process: u.process}
 }
 
 // maxUnsafeIdle is how long a connection may have been idle to carry a request that must run at most once: the
@@ -148,7 +146,7 @@
 		return executor.ErrMisdirected
 	}
 	named := executor.NamedConditions{
-		Conditions: answer.Conditions, Instance: request.instance, Born: request.born, Kind: executor.ResponseAnswer, SentAt: request.at,
+		Conditions: answer.Conditions, Process: request.process, Kind: executor.ResponseAnswer, SentAt: request.at,
 	}
 	switch {
 	case answer.NotRun:
@@ -171,12 +169,12 @@
 // answerHopByHop are the headers of answers that are not forwarded beyond one hop (RFC 9110, section 7.6.1).
 var answerHopByHop = []string{"Keep-Alive", "Proxy-Authenticate", "Trailer", "Transfer-Encoding", "Upgrade"}
 
-// IsDown implements executor.Upstream. The process is down if another instance has announced itself or if nothing
+// IsDown implements executor.Upstream. The process is down if another one has announced itself or if nothing
 // listens at the address any more.
-func (u *localUpstream) IsDown(ctx context.Context, instance string) bool {
+func (u *localUpstream) IsDown(ctx context.Context, process announcer.Process) bool {
 	for range downCheckCount {
 		_, address, current := u.current()
-		if current != instance {
+		if !current.IsSame(process) {
 			return true
 		}
 		conn, err := net.DialTimeout("tcp", address.String(), dialTimeout)
--- a/internal/relayer/virtual_test.go
+++ b/internal/relayer/virtual_test.go
@@ -257,7 +257,7 @@
 }
 
 // IsDown implements executor.Upstream.
-func (v *virtualNode) IsDown(context.Context, string) bool { return false }
+func (v *virtualNode) IsDown(context.Context, announcer.Process) bool { return false }
 
 // request sends a request through the node and returns the status of its answer.
 func (v *virtualNode) request(ctx context.Context, id, kind string, idempotent bool, limit time.Duration) int {
--- a/pkg/announcer/announcement.go
+++ b/pkg/announcer/announcement.go
@@ -53,12 +53,6 @@
 	State State `json:"state"`
 }
 
-// IsSameProcess reports whether both announcements are of one run of the upstream's process, as far as is known: they name
-// the same instance, and do not name different times at which it started.
-func (a Announcement) IsSameProcess(b Announcement) bool {
-	return a.Instance == b.Instance && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
-}
-
 // Lease is a node's answer to an Announcement.
 type Lease struct {
 	// Time is how long the announcement is valid, as a Go duration string.
