--- a/internal/relayer/plannedstop_test.go
+++ b/internal/relayer/plannedstop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -55,10 +56,20 @@
 	Pipelined int `json:"pipelined"`
 	// Pause is the longest time between two requests; 0 selects maxPause.
 	Pause validator.Duration `json:"pause"`
+	// BodyBytes is the size of the bodies of POST requests; 0 selects defaultBodyBytes.
+	BodyBytes int `json:"body-bytes"`
+	// Parts is the number of parts in which a request is written, with pauses in between; 0 counts as 1.
+	Parts int `json:"parts"`
 	// Reuses is true for callers that use a connection until a response closes it or the node is gone.
 	Reuses bool `json:"reuses"`
 }
 
+// defaultBodyBytes is the size of the body of a POST request.
+const defaultBodyBytes = 2000
+
+// partPause is the longest pause between two parts of a request.
+const partPause = 20 * time.Millisecond
+
 // maxPause is the longest time between two requests of callers that set none.
 const maxPause = 10 * time.Millisecond
 
@@ -287,7 +298,8 @@
 	}
 	defer func() { _ = conn.Close() }()
 	time.Sleep(wait)
-	s.exchange(conn, bufio.NewReader(conn), "/slots", []*stopCall{{id: id, post: s.randomInt(2) == 0}})
+	callers := stopCallers{Path: "/slots"}
+	s.exchange(conn, bufio.NewReader(conn), &callers, []*stopCall{{id: id, post: s.randomInt(2) == 0}})
 }
 
 func (s *stopTest) randomInt(n int) int {
@@ -314,7 +326,7 @@
 			for i := range batch {
 				batch[i] = &stopCall{id: fmt.Sprintf("%s-%d-%d", prefix, n, i), post: callers.Post}
 			}
-			open = s.exchange(conn, reader, callers.Path, batch) && callers.Reuses
+			open = s.exchange(conn, reader, &callers, batch) && callers.Reuses
 			time.Sleep(time.Duration(s.randomInt(int(pause))))
 			open = open && !forwarder.HasInput(conn)
 		}
@@ -323,7 +335,7 @@
 }
 
 // exchange sends the requests at once and reads the responses. It reports whether the connection can be used again.
-func (s *stopTest) exchange(conn net.Conn, reader *bufio.Reader, path string, batch []*stopCall) bool {
+func (s *stopTest) exchange(conn net.Conn, reader *bufio.Reader, callers *stopCallers, batch []*stopCall) bool {
 	s.mu.Lock()
 	s.calls = append(s.calls, batch...)
 	s.mu.Unlock()
@@ -331,11 +343,10 @@
 	_ = conn.SetDeadline(time.Now().Add(patience))
 	var out bytes.Buffer
 	for _, call := range batch {
-		_, _ = stopRequest(call, path).WriteTo(&out)
+		_, _ = stopRequest(call, callers).WriteTo(&out)
 	}
 	started := time.Now()
-	// A node that closes the connection may have answered before, so the error of a read counts.
-	_, _ = conn.Write(out.Bytes())
+	s.writeInParts(conn, out.Bytes(), max(1, callers.Parts))
 	open := true
 	for _, call := range batch {
 		resp := &fasthttp.Response{}
@@ -351,15 +362,25 @@
 	return open
 }
 
-func stopRequest(call *stopCall, path string) *fasthttp.Request {
-	const bodyBytes = 2000
+// writeInParts writes the data in parts of equal size, with pauses in between.
+func (s *stopTest) writeInParts(conn net.Conn, data []byte, parts int) {
+	for part := range parts {
+		if part > 0 {
+			time.Sleep(time.Duration(s.randomInt(int(partPause))))
+		}
+		// A node that closes the connection may have answered before, so the error of a read counts.
+		_, _ = conn.Write(data[part*len(data)/parts : (part+1)*len(data)/parts])
+	}
+}
+
+func stopRequest(call *stopCall, callers *stopCallers) *fasthttp.Request {
 	req := &fasthttp.Request{}
-	req.SetRequestURI(path)
+	req.SetRequestURI(callers.Path)
 	req.Header.SetHost("test")
 	req.Header.Set(responder.HeaderID, call.id)
 	if call.post {
 		req.Header.SetMethod(fasthttp.MethodPost)
-		req.SetBody(bytes.Repeat([]byte("x"), bodyBytes))
+		req.SetBody(bytes.Repeat([]byte("x"), cmp.Or(callers.BodyBytes, defaultBodyBytes)))
 	}
 	return req
 }
