Use a disk that has room again without a request, and tell which one failed

Found by reading: a replica whose disk had failed looked for room only when a request came, and no line or metric told of the disk. It looks each second now; a line, a counter and a gauge tell which disk failed, and for how long (TestDiskThatHasRoomAgainIsUsed).

--- a/internal/maintainer/fleet_test.go
+++ b/internal/maintainer/fleet_test.go
@@ -127,8 +127,19 @@
 	return f.random.IntN(n)
 }
 
-// start starts the process of a VM, and creates the VM if it is new. It does nothing if the process runs.
+// start starts the process of a VM, and creates the VM if it is new. It does nothing if the process runs. The disk takes
+// all changes from then on.
 func (f *fleet) start(name string) {
+	if v := f.vms[name]; v != nil && v.process == nil {
+		v.disk.SetBeforeOperation(nil)
+	}
+	if err := f.tryStart(name); err != nil {
+		f.tb.Fatalf("%s: %v", name, err)
+	}
+}
+
+// tryStart is like start, but leaves the disk as it is. It returns the error of a process that can't use its disk.
+func (f *fleet) tryStart(name string) error {
 	f.mu.Lock()
 	v := f.vms[name]
 	if v == nil {
@@ -138,19 +149,18 @@
 	}
 	if v.process != nil {
 		f.mu.Unlock()
-		return
+		return nil
 	}
 	f.starts++
 	incarnation := f.starts
 	f.mu.Unlock()
-	v.disk.SetBeforeOperation(nil)
 	folder, err := persister.Open(dataFolder, persister.WithFileSystem(v.disk))
 	if err != nil {
-		f.tb.Fatal(err)
+		return err
 	}
 	acceptor, err := replicator.OpenAcceptor(folder)
 	if err != nil {
-		f.tb.Fatalf("%s: %v", name, err)
+		return errors.Join(err, folder.Close())
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{acceptor: acceptor, fleet: f, stop: stop, vm: v}
@@ -171,6 +181,7 @@
 	} {
 		f.tasks.Go(func() { repeat(ctx, task.interval, task.run) })
 	}
+	return nil
 }
 
 // repeat calls the task once per interval until ctx is done.
--- a/internal/relayer/admin.go
+++ b/internal/relayer/admin.go
@@ -67,6 +67,7 @@
 func (n *Node) registerGauges() {
 	n.meter.Gauge("document_version", func() float64 { return float64(n.documentVersion()) })
 	n.meter.Gauge("register_revision", func() float64 { return float64(n.revision()) })
+	n.meter.Gauge("replica_disk_failed_seconds", n.register.diskFailedSeconds)
 	n.meter.Gauge("live_members", func() float64 { return float64(len(n.livePeers()) + 1) })
 	n.meter.Gauge("upstream_rate_limit", func() float64 { return n.executor.Status().RateLimit })
 	n.meter.Gauge("upstream_rate_limit_use", func() float64 { return n.executor.Status().RateLimitUse })
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -58,6 +59,9 @@
 	callCtx        context.Context
 	interruptCalls context.CancelFunc
 
+	// diskFailedAt is when the disk of the replica failed, in nanoseconds since the Unix epoch; zero if it has not.
+	diskFailedAt atomic.Int64
+
 	mu sync.Mutex
 	// skippedUntil holds the time until which a leader that did not answer is skipped, by name.
 	skippedUntil map[string]time.Time
@@ -81,10 +85,32 @@
 	if err != nil {
 		return merry.Prepend(err, "data-folder")
 	}
+	r.acceptor.SetDiskObserver(r.diskStateChanged)
 	n.log.Info("The data folder is open.", "disk-id", r.acceptor.DiskID())
 	return nil
 }
 
+// diskStateChanged logs that the disk of this node's replica has failed, or takes writes again.
+func (r *register) diskStateChanged(err error) {
+	if err == nil {
+		failed := r.node.clock.Now().Sub(time.Unix(0, r.diskFailedAt.Swap(0)))
+		r.node.log.Info("The disk of the replica takes writes again.", "disk-id", r.acceptor.DiskID(), "failed-for", failed)
+		return
+	}
+	r.diskFailedAt.Store(r.node.clock.Now().UnixNano())
+	r.node.meter.Event("replica_disk_failures")
+	r.node.log.Error("The disk of the replica has failed.", "disk-id", r.acceptor.DiskID(), "error", err)
+}
+
+// diskFailedSeconds returns how long the disk of this node's replica has been failing, in seconds; zero if it is not.
+func (r *register) diskFailedSeconds() float64 {
+	failedAt := r.diskFailedAt.Load()
+	if failedAt == 0 {
+		return 0
+	}
+	return r.node.clock.Now().Sub(time.Unix(0, failedAt)).Seconds()
+}
+
 // Prepare implements replicator.Transport.
 func (r *register) Prepare(ctx context.Context, vm string, request replicator.PrepareRequest) (replicator.PrepareReply, error) {
 	var reply replicator.PrepareReply
@@ -422,6 +448,10 @@
 		return
 	}
 	runEvery(ctx, learnInterval, func() {
+		if acceptor.Recover() != nil {
+			// Whoever sends a request gets the error, and the observer has logged it.
+			return
+		}
 		accepted := acceptor.Accepted()
 		if accepted == nil || !needsRound(accepted, n.revision()) {
 			return
--- a/internal/replicator/acceptor.go
+++ b/internal/replicator/acceptor.go
@@ -87,7 +87,10 @@
 	// which the files may be behind the replies that were sent, or errClosed.
 	unavailableErr error
 	folder         *persister.Folder
-	promise        Ballot
+	// onDiskState is called with the error of a write after which the replica rejects all requests, and with nil when its
+	// disk takes writes again; nil for none.
+	onDiskState func(error)
+	promise     Ballot
 }
 
 // OpenAcceptor reads the replica's state from the folder, or creates it with a new disk id if the folder
@@ -227,6 +230,34 @@
 	return reply, nil
 }
 
+// SetDiskObserver sets the function that is called when the disk has failed, with the error, and with nil when it takes writes
+// again. It is called with the replica's lock held and must not call the replica.
+func (a *Acceptor) SetDiskObserver(observer func(error)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.onDiskState = observer
+}
+
+// Recover tries to write the records of a replica whose disk has failed, as each request does. It returns the error with
+// which the replica rejects requests, or nil.
+func (a *Acceptor) Recover() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unavailableErr == nil {
+		return nil
+	}
+	return a.rewriteRecords()
+}
+
+// setUnavailable sets the error with which all requests are rejected, or nil, and tells the observer of a change.
+func (a *Acceptor) setUnavailable(err error) {
+	isChange := (a.unavailableErr == nil) != (err == nil)
+	a.unavailableErr = err
+	if isChange && a.onDiskState != nil {
+		a.onDiskState(err)
+	}
+}
+
 // ensureUsable returns an error if the acceptor can't answer requests or if diskID is not its own. After a
 // failed write it first tries to write the records again.
 func (a *Acceptor) ensureUsable(diskID string) error {
@@ -253,7 +284,7 @@
 	if err := a.writeRecord(recordAccepted, a.accepted); err != nil {
 		return a.unavailableErr
 	}
-	a.unavailableErr = nil
+	a.setUnavailable(nil)
 	return nil
 }
 
@@ -261,7 +292,7 @@
 // rewritten, because it can't know what the disk holds.
 func (a *Acceptor) persist(name string, value any) error {
 	if err := a.writeRecord(name, value); err != nil {
-		a.unavailableErr = merry.Prepend(err, "the replica's disk has failed")
+		a.setUnavailable(merry.Prepend(err, "the replica's disk has failed"))
 		return a.unavailableErr
 	}
 	return nil
--- a/internal/replicator/fault_test.go
+++ b/internal/replicator/fault_test.go
@@ -173,3 +173,37 @@
 		t.Errorf("read %+v, error %v after the restart of b, want version %d", value, err, changes+1)
 	}
 }
+
+// TestDiskThatHasRoomAgainIsUsed guards against a replica that stays unavailable after its disk has room again because no
+// request comes, and against a failed disk of which nobody is told.
+func TestDiskThatHasRoomAgainIsUsed(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	replicas := c.bootstrap("a", "b", "c")
+	errFull := errors.New("no space left")
+	isFull := true
+	c.setWriteHook(func(vm string, _ persister.Step, _ string) error {
+		if vm == "a" && isFull {
+			return errFull
+		}
+		return nil
+	})
+	var states []error
+	acceptor := c.acceptors["a"]
+	acceptor.SetDiskObserver(func(err error) { states = append(states, err) })
+	request := PrepareRequest{Ballot: Ballot{Number: 1000, Proposer: "p"}, DiskID: replicas[0].DiskID}
+	for range 2 {
+		if _, err := acceptor.Prepare(request); !errors.Is(err, errFull) {
+			t.Errorf("a request while the disk is full: %v", err)
+		}
+	}
+	if err := acceptor.Recover(); !errors.Is(err, errFull) {
+		t.Errorf("the disk is full: %v", err)
+	}
+	isFull = false
+	if err := acceptor.Recover(); err != nil {
+		t.Errorf("the disk has room again: %v", err)
+	}
+	if len(states) != 2 || !errors.Is(states[0], errFull) || states[1] != nil {
+		t.Errorf("the observer was told %v, want one failure and its end", states)
+	}
+}
