Keep a restarted node to what its upstream has said to the earlier process

Causes: a withdrawal that names the start of its process was taken for that of another one if the node had found the upstream by a health check, which doesn't tell the start; it was answered 200 without effect. And what an upstream has said lived in the memory of one process: members heard that an upstream drains, not which, and forgot it with the first record of the restarted node, where a late heartbeat made it ready again.

Change: processes are compared as far as both are known. The member record names the process that leaves. Members keep the earlier record of a restarted node that doesn't name it, and send it back with their next five packets to that node, which keeps to it whenever that process announces itself or is found.

--- a/internal/gossiper/fleetstart_test.go
+++ b/internal/gossiper/fleetstart_test.go
@@ -27,7 +27,7 @@
 	}
 	for i := range members {
 		n.schedule(heartbeat*time.Duration(i)/members, func() {
-			n.gossipers[memberName(i)].SetUpstream("s", 11, announcer.StateReady)
+			n.gossipers[memberName(i)].SetUpstream(announcer.Announcement{Service: "s", Slots: 11, State: announcer.StateReady})
 		})
 	}
 	n.run(heartbeat)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -56,6 +56,9 @@
 	LoadSeen(from Member, load Load)
 	// MemberChanged is called after each change of a member's record.
 	MemberChanged(m Member)
+	// LeavingRemembered is called with the process of the local upstream that has said, to an earlier process of this
+	// node, that it leaves. Members that remember it repeat it.
+	LeavingRemembered(process announcer.Process)
 	// ViewDiffers is called for a packet from a member whose membership list differs from the local
 	// one, while no update is waiting to be sent.
 	ViewDiffers(from Member)
@@ -113,6 +116,8 @@
 	probes map[uint64]*probe
 	// relays holds the unacknowledged pings on behalf of other members by sequence number.
 	relays map[uint64]relay
+	// remembered holds the leaving processes that the observer has not received yet.
+	remembered []announcer.Process
 	// senderStates holds what the observer has not received yet of the senders of packets.
 	senderStates []senderState
 	self         string
@@ -153,6 +158,10 @@
 	// since is when the record was stored. A packet from a suspect member resets it, which restarts the
 	// suspicion timeout.
 	since time.Time
+	// earlier is the record of an earlier process of the member whose upstream was leaving; nil if there was none, or if the
+	// member has been told. remindersLeft is how often it is still sent to the member.
+	earlier       *Member
+	remindersLeft int
 }
 
 // datagram is an encoded packet in the outbox.
@@ -235,6 +244,7 @@
 	}
 	g.recordContact(now, p.Sender)
 	if sender, ok := g.members[p.Sender]; ok {
+		g.remind(sender)
 		if sender.Status == StatusSuspect {
 			// The sender is alive and has to receive the suspicion to refute it.
 			sender.since = now
@@ -270,11 +280,14 @@
 // changes of a member in their order.
 func (g *Gossiper) notifyObserver() bool {
 	g.mu.Lock()
-	changed, senderStates := g.changed, g.senderStates
-	g.changed, g.senderStates = nil, nil
-	g.isNotifying = len(changed)+len(senderStates) > 0
+	changed, senderStates, remembered := g.changed, g.senderStates, g.remembered
+	g.changed, g.senderStates, g.remembered = nil, nil, nil
+	g.isNotifying = len(changed)+len(senderStates)+len(remembered) > 0
 	isNotifying := g.isNotifying
 	g.mu.Unlock()
+	for _, process := range remembered {
+		g.observer.LeavingRemembered(process)
+	}
 	for _, m := range changed {
 		g.observer.MemberChanged(m)
 	}
@@ -302,14 +315,22 @@
 	}
 }
 
-// SetUpstream updates the service, slots and state of the local upstream in the member's own record and
+// SetUpstream updates the service, slots, state and process of the local upstream in the member's own record and
 // spreads the change. After Drain no upstream becomes ready.
-func (g *Gossiper) SetUpstream(service string, slots int, state announcer.State) {
+func (g *Gossiper) SetUpstream(a announcer.Announcement) {
 	g.mu.Lock()
+	state := a.State
 	self := g.members[g.self].Member
-	self.Service = service
-	self.Slots = slots
+	self.Service = a.Service
+	self.Slots = a.Slots
 	self.Upstream = state
+	switch state {
+	case announcer.StateDraining:
+		self.LeavingInstance, self.LeavingBorn = a.Instance, a.Born
+	case announcer.StateReady:
+		self.LeavingInstance, self.LeavingBorn = "", 0
+	case announcer.StateGone, announcer.StateStarting:
+	}
 	if g.isDraining && state == announcer.StateReady {
 		self.Upstream = announcer.StateDraining
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -26,7 +26,7 @@
 			n.run(20 * time.Second)
 			n.lossRate = lossRate
 
-			n.gossipers[memberName(5)].SetUpstream("s5", 12, announcer.StateDraining)
+			n.gossipers[memberName(5)].SetUpstream(announcer.Announcement{Service: "s5", Slots: 12, State: announcer.StateDraining})
 			drained, ok := n.runUntil(maxDrainDelay, func(g *Gossiper) bool {
 				m, _ := g.Member(memberName(5))
 				return m.Upstream == announcer.StateDraining
--- a/internal/gossiper/member.go
+++ b/internal/gossiper/member.go
@@ -74,6 +74,15 @@
 	Upstream announcer.State `cbor:"11,keyasint,omitempty" json:"upstream,omitempty"`
 	// DiskID identifies the disk of a node that is able to be a control replica.
 	DiskID string `cbor:"12,keyasint,omitempty" json:"disk-id,omitempty"`
+	// LeavingInstance and LeavingBorn identify the last process of the upstream that has said that it leaves; see Leaving.
+	LeavingInstance string `cbor:"13,keyasint,omitempty" json:"leaving-instance,omitempty"`
+	LeavingBorn     int64  `cbor:"14,keyasint,omitempty" json:"leaving-born,omitempty"`
+}
+
+// Leaving returns the last process of the node's upstream that has said that it leaves. Its instance is empty if there was
+// none.
+func (m *Member) Leaving() announcer.Process {
+	return announcer.Process{Born: m.LeavingBorn, Instance: m.LeavingInstance}
 }
 
 // IsServing reports whether new requests for the member's service can be sent to it: its upstream is
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -42,6 +42,8 @@
 	// comparePause is how long a member does not compare its view again after it has.
 	comparePause time.Duration
 	comparedAt   map[string]time.Time
+	// remembered holds the leaving process that each member was last told of.
+	remembered map[string]announcer.Process
 }
 
 // event is an action at a point in virtual time.
@@ -105,6 +107,11 @@
 // MemberChanged implements Observer.
 func (endpoint) MemberChanged(Member) {}
 
+// LeavingRemembered implements Observer.
+func (e endpoint) LeavingRemembered(process announcer.Process) {
+	e.net.remembered[e.name] = process
+}
+
 // VersionSeen implements Observer: it sets the version after the time that fetching the document takes.
 func (e endpoint) VersionSeen(_ Member, version uint64) {
 	// Fetching a document takes a round trip.
@@ -150,7 +157,8 @@
 	}
 	n := &network{
 		budgets: make(map[string]*budgeter.Bytes), comparedAt: make(map[string]time.Time),
-		bytesSent: make(map[string]int), codec: codec, namesByAddress: make(map[netip.AddrPort]string), now: time.Unix(1000, 0),
+		remembered: make(map[string]announcer.Process),
+		bytesSent:  make(map[string]int), codec: codec, namesByAddress: make(map[netip.AddrPort]string), now: time.Unix(1000, 0),
 		random: rand.New(rand.NewPCG(testSeed, testSeed)), partition: make(map[string]int),
 		stopped: make(map[string]bool), tb: tb, gossipers: make(map[string]*Gossiper),
 	}
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -152,7 +152,7 @@
 	if m.Name == "" || m.Status > StatusLeft || !isWithin(m.Slots, maxSlots) {
 		return false
 	}
-	if m.Incarnation > maxVersion || m.Sequence > maxVersion {
+	if m.Incarnation > maxVersion || m.Sequence > maxVersion || m.LeavingBorn < 0 {
 		return false
 	}
 	return dialer.IsHost(m.Control) && dialer.IsHost(m.Peer)
--- a/internal/gossiper/restart_test.go
+++ b/internal/gossiper/restart_test.go
@@ -31,7 +31,7 @@
 	restart(knownIncarnation)
 	n.run(maxRejoinDelay)
 	restart(restartedIncarnation)
-	n.gossipers[memberName(5)].SetUpstream("elsewhere", 3, announcer.StateReady)
+	n.gossipers[memberName(5)].SetUpstream(announcer.Announcement{Service: "elsewhere", Slots: 3, State: announcer.StateReady})
 	rejoined, ok := n.runUntil(maxRejoinDelay, func(g *Gossiper) bool {
 		m, _ := g.Member(memberName(5))
 		return m.Status == StatusAlive && m.Service == "elsewhere" && m.Incarnation > knownIncarnation
@@ -53,7 +53,7 @@
 		if m, _ := n.gossipers[memberName(1)].Member(memberName(7)); m.Status == StatusAlive {
 			t.Fatalf("a member that was silent for %s still counts as alive", freezeDuration)
 		}
-		n.gossipers[memberName(8)].SetUpstream("s8", 12, announcer.StateDraining)
+		n.gossipers[memberName(8)].SetUpstream(announcer.Announcement{Service: "s8", Slots: 12, State: announcer.StateDraining})
 		n.stopped[memberName(7)] = false
 		n.scheduleTick(memberName(7), n.gossipers[memberName(7)], 0)
 		rejoined, ok := n.runUntil(maxRejoinDelay, func(g *Gossiper) bool {
@@ -74,9 +74,9 @@
 	n := newNetwork(t, 3)
 	n.run(10 * time.Second)
 	draining := n.gossipers[memberName(1)]
-	draining.SetUpstream("s1", 12, announcer.StateReady)
+	draining.SetUpstream(announcer.Announcement{Service: "s1", Slots: 12, State: announcer.StateReady})
 	draining.Drain()
-	draining.SetUpstream("s1", 6, announcer.StateReady)
+	draining.SetUpstream(announcer.Announcement{Service: "s1", Slots: 6, State: announcer.StateReady})
 	spread, ok := n.runUntil(maxDrainDelay, func(g *Gossiper) bool {
 		m, _ := g.Member(memberName(1))
 		return m.Slots == 6 && m.Upstream == announcer.StateDraining
@@ -85,8 +85,41 @@
 	if !ok {
 		t.Error("some members take the draining member for a serving one")
 	}
-	draining.SetUpstream("s1", 6, announcer.StateGone)
+	draining.SetUpstream(announcer.Announcement{Service: "s1", Slots: 6, State: announcer.StateGone})
 	if got := draining.Self().Upstream; got != announcer.StateGone {
 		t.Errorf("the upstream that has ended is listed as %s", got)
 	}
 }
+
+// TestRestartedMemberIsToldOfLeavingUpstream guards against an upstream that has said that it leaves and gets requests again
+// after its node was restarted: the members that know of it tell the new process, also where datagrams are lost, the
+// system clock was set back, or the node is restarted once more.
+func TestRestartedMemberIsToldOfLeavingUpstream(t *testing.T) {
+	const maxTellDelay = 2 * time.Second
+	leaving := announcer.Announcement{Born: 100, Instance: "i", Service: "s", Slots: 2, State: announcer.StateDraining}
+	for _, lossRate := range []float64{0, 0.1} {
+		for _, incarnations := range [][]uint64{{knownIncarnation + 1}, {restartedIncarnation}, {knownIncarnation + 1, knownIncarnation + 2}} {
+			n := newNetwork(t, 30)
+			n.lossRate = lossRate
+			name := memberName(5)
+			restart := func(incarnation uint64) {
+				n.stopped[name] = true
+				n.run(300 * time.Millisecond)
+				n.stopped[name] = false
+				delete(n.remembered, name)
+				n.add(5, incarnation)
+			}
+			restart(knownIncarnation)
+			n.run(maxRejoinDelay)
+			n.gossipers[name].SetUpstream(leaving)
+			n.run(100 * time.Millisecond)
+			for _, incarnation := range incarnations {
+				restart(incarnation)
+				told, ok := n.runUntil(maxTellDelay, func(*Gossiper) bool { return n.remembered[name] == leaving.Process() })
+				if !ok {
+					t.Errorf("loss %.1f, incarnations %v: the restarted member is not told after %s", lossRate, incarnations, told)
+				}
+			}
+		}
+	}
+}
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -31,10 +31,43 @@
 	if ok {
 		asserter.That(!old.isNewer(&m), "gossip-monotonic", "the record of %s went back to an older one", m.Name)
 	}
+	var earlier *Member
+	if ok {
+		earlier = old.unforgotten(&m)
+	}
 	g.put(m)
+	if earlier != nil {
+		g.members[m.Name].earlier, g.members[m.Name].remindersLeft = earlier, maxReminders
+	}
 	g.changed = append(g.changed, m)
 }
 
+// maxReminders is how often a restarted member is told which upstream was leaving.
+const maxReminders = 5
+
+// unforgotten returns the record of an earlier process of the member that names a leaving upstream, if the next record is of
+// a process that doesn't know it, or nil.
+func (e *entry) unforgotten(next *Member) *Member {
+	if next.LeavingInstance != "" {
+		return nil
+	}
+	if e.LeavingInstance != "" && next.Incarnation > e.Incarnation {
+		earlier := e.Member
+		return &earlier
+	}
+	return e.earlier
+}
+
+// remind sends a member that was restarted the record of its earlier process, whose upstream was leaving: what that process
+// has acknowledged binds this one.
+func (g *Gossiper) remind(member *entry) {
+	if member.earlier == nil || member.remindersLeft == 0 {
+		return
+	}
+	member.remindersLeft--
+	g.enqueue(member.Control, &Packet{Kind: KindUpdate, Members: []Member{*member.earlier}})
+}
+
 // put stores a record, updates the view's hash and begins to spread the record.
 func (g *Gossiper) put(m Member) {
 	if old, ok := g.members[m.Name]; ok {
@@ -48,9 +81,13 @@
 
 // mergeSelf handles a record of this member from another one. If it is newer than the member's own record,
 // it is refuted: the own record is spread with a higher sequence number and, where the other incarnation is
-// higher, an incarnation above that. A member that has left refutes nothing.
+// higher, an incarnation above that. A member that has left refutes nothing. What the record says of a leaving upstream is
+// passed to the observer.
 func (g *Gossiper) mergeSelf(m Member) {
 	self := g.members[g.self].Member
+	if m.LeavingInstance != "" && m.Leaving() != self.Leaving() {
+		g.remembered = append(g.remembered, m.Leaving())
+	}
 	if g.hasLeft || !m.isNewer(&self) {
 		return
 	}
--- a/internal/maintainer/members_test.go
+++ b/internal/maintainer/members_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // seedCount is the number of VMs, the oldest that are there, from which a process learns of the members at its start.
@@ -67,6 +68,9 @@
 // MemberChanged implements gossiper.Observer.
 func (p *process) MemberChanged(gossiper.Member) {}
 
+// LeavingRemembered implements gossiper.Observer.
+func (p *process) LeavingRemembered(announcer.Process) {}
+
 // VersionSeen implements gossiper.Observer.
 func (p *process) VersionSeen(gossiper.Member, uint64) {}
 
--- a/internal/registrar/leaving_test.go
+++ b/internal/registrar/leaving_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
@@ -44,3 +45,36 @@
 		t.Errorf("%d changes were reported, want ready, draining, ready and gone: %v", len(changes), changes)
 	}
 }
+
+// TestWithdrawalOfDiscoveredProcess guards against a withdrawal that is acknowledged and has no effect, because the process
+// was found by a health check and its start is not known.
+func TestWithdrawalOfDiscoveredProcess(t *testing.T) {
+	r := New(timekeeper.System{}, func(announcer.Announcement) {})
+	discovered := announcement(announcer.StateReady)
+	discovered.Instance = "i1"
+	r.AddDiscovered(discovered)
+	r.Withdraw(announcer.Process{Instance: "i1", Born: 100})
+	if _, err := r.Announce(numbered("i1", 100, 5, announcer.StateReady)); !errors.Is(err, ErrOutdated) {
+		t.Errorf("a late announcement: %v", err)
+	}
+	r.AddDiscovered(discovered)
+	if state := r.Current().State; state != announcer.StateDraining {
+		t.Errorf("the state is %s", state)
+	}
+	if _, err := r.Announce(numbered("i1", 200, 1, announcer.StateReady)); err != nil || r.Current().State != announcer.StateReady {
+		t.Errorf("the next process: %v, %s", err, r.Current().State)
+	}
+}
+
+// TestLeavingIsKnownBeforeFirstAnnouncement guards against a heartbeat that arrives late at a restarted node, from a process
+// that has said to the earlier one that it leaves.
+func TestLeavingIsKnownBeforeFirstAnnouncement(t *testing.T) {
+	r := New(timekeeper.System{}, func(announcer.Announcement) {})
+	r.MarkLeaving(announcer.Process{Instance: "i1", Born: 100})
+	if _, err := r.Announce(numbered("i1", 100, 7, announcer.StateReady)); err != nil || r.Current().State != announcer.StateDraining {
+		t.Errorf("a late heartbeat: %v, %s", err, r.Current().State)
+	}
+	if _, err := r.Announce(numbered("i1", 200, 1, announcer.StateReady)); err != nil || r.Current().State != announcer.StateReady {
+		t.Errorf("the next process: %v, %s", err, r.Current().State)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -52,7 +52,8 @@
 	lease     time.Duration
 	// isLeaving is true when the current process has announced that it is shutting down.
 	isLeaving bool
-	// leaving is the last process that has said to the node's callers that it leaves; zero if there was none.
+	// leaving is the last process that has said to the node's callers, or to an earlier process of this node, that it
+	// leaves; zero if there was none.
 	leaving announcer.Process
 	timer   timekeeper.Timer
 }
@@ -166,7 +167,7 @@
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	isCurrent := r.current.Instance == process.Instance && (process.Born == 0 || process.Born == r.current.Born)
+	isCurrent := r.current.Process().IsSame(process)
 	if !isCurrent && r.current.State != announcer.StateGone {
 		r.mu.Unlock()
 		return
@@ -177,23 +178,31 @@
 	}
 	r.isLeaving = true
 	r.current.State = announcer.StateDraining
+	r.current.Born = max(r.current.Born, process.Born)
 	draining := r.current
 	r.mu.Unlock()
 	r.onChange(draining)
 }
 
-// MarkLeaving records that the current process has said in its answers that it leaves. Its state becomes draining and stays
-// so, whatever it announces. It is ignored for a process other than the current one.
+// MarkLeaving records that a process has said in its answers, or to an earlier process of this node, that it leaves. Its state
+// becomes draining and stays so, whatever it announces, also later. It is ignored while another process is there.
 func (r *Registrar) MarkLeaving(process announcer.Process) {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	if !r.current.Process().IsSame(process) {
+	isCurrent := r.current.Process().IsSame(process)
+	if !isCurrent && r.current.State != announcer.StateGone {
 		r.mu.Unlock()
 		return
 	}
-	process.Born = max(process.Born, r.current.Born)
+	if isCurrent {
+		process.Born = max(process.Born, r.current.Born)
+	}
 	r.leaving = process
+	if !isCurrent {
+		r.mu.Unlock()
+		return
+	}
 	wasServing := r.current.State != announcer.StateDraining && r.current.State != announcer.StateGone
 	if wasServing {
 		r.current.State = announcer.StateDraining
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -331,7 +331,7 @@
 	n.log.Info("The upstream changed.", "service", a.Service, "state", a.State, "slots", a.Slots, "address", a.Address)
 	n.upstream.reconnect(a)
 	n.executor.HandleAnnouncement(a)
-	n.gossiper.SetUpstream(a.Service, a.Slots, a.State)
+	n.gossiper.SetUpstream(a)
 }
 
 // MemberChanged implements gossiper.Observer.
@@ -342,6 +342,13 @@
 		"incarnation", m.Incarnation, "sequence", m.Sequence, "service", m.Service, "upstream", m.Upstream)
 }
 
+// LeavingRemembered implements gossiper.Observer.
+func (n *Node) LeavingRemembered(process announcer.Process) {
+	n.meter.Event("leaving_remembered")
+	n.log.Info("The upstream has said to an earlier process of this node that it leaves.", "process", process)
+	n.registrar.MarkLeaving(process)
+}
+
 // ViewDiffers implements gossiper.Observer. It requests a sync with the member, unless a request is already pending.
 func (n *Node) ViewDiffers(from gossiper.Member) {
 	select {
