Give idempotency keys to their callers, and read them only where a setting says so

Cause: claims were keyed by key, neighbour and service, not by who sends. On the platform the header belongs to callers and upstreams ("Other headers are also forwarded"); the product's own feature read it there as well.

Change: the setting idempotency-keys, off by default and so on the platform; the header is then passed on unread. Where it is on, a key belongs to a keyed hash of the caller's credentials and the host, or, for callers without any, to one request.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/quarantiner"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
+	"github.com/marigoldrelay/marigoldrelay/internal/signer"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
@@ -63,11 +64,12 @@
 	client      OwnerClient
 	interpreter Interpreter
 	members     Members
+	scopeKey    *signer.Signer
 }
 
-// New returns a claimer that reaches the owners through client.
-func New(clock timekeeper.Clock, client OwnerClient, members Members, i Interpreter) *Claimer {
-	return &Claimer{clock: clock, client: client, members: members, interpreter: i}
+// New returns a claimer that reaches the owners through client. scopeKey is the same at all nodes.
+func New(clock timekeeper.Clock, client OwnerClient, members Members, i Interpreter, scopeKey *signer.Signer) *Claimer {
+	return &Claimer{clock: clock, client: client, members: members, interpreter: i, scopeKey: scopeKey}
 }
 
 // ownersOf returns the owners of the key by rendezvous hashing (highest random weight; Thaler and Ravishankar,
@@ -75,7 +77,7 @@
 func (c *Claimer) ownersOf(key Key) []gossiper.Member {
 	members := slices.Clone(c.members.Owners(key.Service))
 	weight := func(m gossiper.Member) uint64 {
-		return xxhash.Sum64String(strings.Join([]string{m.Name, key.Service, key.Neighbour, key.Key}, "\x00"))
+		return xxhash.Sum64String(strings.Join([]string{m.Name, key.Service, key.Neighbour, key.Scope, key.Key}, "\x00"))
 	}
 	slices.SortFunc(members, func(a, b gossiper.Member) int {
 		switch x, y := weight(a), weight(b); {
@@ -94,7 +96,7 @@
 // request with the key was answered, it returns that answer in resp. While another claim holds the key it claims
 // the key again, with exponential backoff and jitter, until the call's deadline.
 func (c *Claimer) Run(ctx context.Context, call *dispatcher.Call, req *fasthttp.Request, resp *fasthttp.Response, run func() *refuser.Refusal) *refuser.Refusal {
-	key := Key{Key: call.Key, Neighbour: call.Neighbour, Service: call.Service}
+	key := Key{Key: call.Key, Neighbour: call.Neighbour, Scope: scopeOf(c.scopeKey, req), Service: call.Service}
 	claim := Claim{
 		Claimant:    call.ID,
 		Fingerprint: uint64(quarantiner.FingerprintOf(call.Service, req.Header.Method(), req.Header.RequestURI(), req.Body())),
--- a/internal/claimer/table.go
+++ b/internal/claimer/table.go
@@ -43,7 +43,9 @@
 	// different one.
 	Key       string `json:"key"`
 	Neighbour string `json:"neighbour"`
-	Service   string `json:"service"`
+	// Scope separates the keys of different callers; see scopeOf.
+	Scope   string `json:"scope"`
+	Service string `json:"service"`
 }
 
 // Claim is an entry node's request for the right to run the request with a key.
--- a/internal/demonstrator/deployment.go
+++ b/internal/demonstrator/deployment.go
@@ -121,6 +121,7 @@
 			ControlAddress:    addresses[3],
 			DataCentre:        spec.DataCentre,
 			DataFolder:        spec.DataFolder,
+			IdempotencyKeys:   true,
 			MaxBodyBytes:      settingsreader.DefaultMaxBodyBytes,
 			MaxHeaderBytes:    settingsreader.DefaultMaxHeaderBytes,
 			Name:              spec.Name,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -132,9 +132,11 @@
 	// OnFinished, if not nil, is called with each call that has ended and its outcome.
 	OnFinished func(call *Call, progress *CallProgress, resp *fasthttp.Response, refusal *refuser.Refusal)
 	// OnHedge, if not nil, is called before each hedge is sent, with the targets of both attempts.
-	OnHedge     func(call *Call, first, second string)
-	Interpreter Interpreter
-	Meter       *meter.Meter
+	OnHedge func(call *Call, first, second string)
+	// IdempotencyKeys is true if HeaderIdempotencyKey is read. Otherwise it is passed on like any other header.
+	IdempotencyKeys bool
+	Interpreter     Interpreter
+	Meter           *meter.Meter
 	// Name is the prefix of call ids.
 	Name string
 	// OnRetryRefused, if not nil, is called for each retry or hedge that is refused, with the target of the
@@ -262,6 +264,9 @@
 	if d.canOutlastNode(call) {
 		return call, refuser.NewWithRetryAfter(refuser.ReasonDraining, drainingRetry, "this node ends before the deadline")
 	}
+	if !d.IdempotencyKeys {
+		return call, nil
+	}
 	return call, call.readIdempotencyKey(req)
 }
 
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -246,13 +246,14 @@
 	n.upstream.observer = n.executor
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		Caller:          n.service,
-		Claims:          claimer.New(n.clock, peers, n, n.interpreter),
+		Claims:          claimer.New(n.clock, peers, n, n.interpreter, n.secrets.PeerSigner),
 		Clock:           n.clock,
 		Conditions:      conditionkeeper.New(n.clock),
 		OnNestedFailure: n.executor.RecordNestedFailure,
 		OnFinished:      n.callFinished,
 		OnHedge:         n.callHedged,
 		OnRetryRefused:  n.retryRefused,
+		IdempotencyKeys: n.settings.IdempotencyKeys,
 		Interpreter:     n.interpreter,
 		Meter:           n.meter,
 		Name:            sender,
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -61,8 +61,10 @@
 	// DocumentFile holds the document for LoadDocument; empty for none.
 	DocumentFile string `json:"document-file"`
 	// GCPercent is how much the heap grows until the next garbage collection, in percent of the live heap.
-	GCPercent int           `json:"gc-percent"`
-	LogFormat logger.Format `json:"log-format"`
+	GCPercent int `json:"gc-percent"`
+	// IdempotencyKeys is true if callers' idempotency keys are read: a non-idempotent request with a key runs once.
+	IdempotencyKeys bool          `json:"idempotency-keys"`
+	LogFormat       logger.Format `json:"log-format"`
 	// LogLinesPerSecond limits the lines that are logged about requests and other frequent events.
 	LogLinesPerSecond int    `json:"log-lines-per-second"`
 	LogLevel          string `json:"log-level"`
