--- a/internal/validator/matcher.go
+++ b/internal/validator/matcher.go
@@ -1,7 +1,6 @@
 package validator
 
 import (
-	"net"
 	"slices"
 	"sort"
 	"strings"
@@ -9,7 +8,7 @@
 
 // Matcher finds the route of a request. It is immutable and safe for concurrent use.
 type Matcher struct {
-	// byHost holds the routes of each host in lower case; routes for any host have the key "".
+	// byHost holds the routes of each host in its normal form; routes for any host have the key "".
 	byHost map[string][]*Route
 }
 
@@ -19,7 +18,7 @@
 	byHost := make(map[string][]*Route)
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		host := strings.ToLower(route.Host)
+		host := HostName(route.Host)
 		byHost[host] = append(byHost[host], route)
 	}
 	for _, routes := range byHost {
@@ -31,7 +30,7 @@
 // Match returns the route of a request, or nil if none matches. A port in host is ignored. A prefix matches whole
 // path segments: "/a" matches "/a" and "/a/b", but not "/ab".
 func (m *Matcher) Match(host, method, path string) *Route {
-	if route := m.matchHost(hostName(host), method, path); route != nil {
+	if route := m.matchHost(HostName(host), method, path); route != nil {
 		return route
 	}
 	return m.matchHost("", method, path)
@@ -49,14 +48,6 @@
 	return nil
 }
 
-// hostName returns the host without its port, in lower case.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
 func hasPathPrefix(path, prefix string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -281,14 +281,14 @@
 	c.checkOptionalDuration(field+".target-latency", route.TargetLatency, maxDeadline)
 	c.checkRange(field+".attempts", float64(route.Attempts), 0, maxAttempts)
 	if len(route.Methods) == 0 {
-		c.checkUniqueRoute(field, route.Host+" "+route.PathPrefix, seen)
+		c.checkUniqueRoute(field, HostName(route.Host)+" "+route.PathPrefix, seen)
 	}
 	for j, method := range route.Methods {
 		name := fmt.Sprintf("%s.methods[%d]", field, j)
 		if !knownMethods[method] {
 			c.addError(name, method, "no such method")
 		}
-		c.checkUniqueRoute(name, route.Host+" "+method+" "+route.PathPrefix, seen)
+		c.checkUniqueRoute(name, HostName(route.Host)+" "+method+" "+route.PathPrefix, seen)
 	}
 }
 
