--- a/internal/registrar/order_test.go
+++ b/internal/registrar/order_test.go
@@ -103,3 +103,22 @@
 		t.Errorf("the current announcement is %+v", current)
 	}
 }
+
+// TestProcessKeepsItsService guards against an announcement of another writer that moves a running process to another service.
+// Another process can be of another one.
+func TestProcessKeepsItsService(t *testing.T) {
+	r := New(timekeeper.System{}, func(announcer.Announcement) {})
+	own := numbered("i1", 100, 1, announcer.StateReady)
+	if _, err := r.Announce(own); err != nil {
+		t.Fatal(err)
+	}
+	moved := numbered("i1", 100, 2, announcer.StateReady)
+	moved.Service = "another"
+	if _, err := r.Announce(moved); !errors.Is(err, ErrInvalid) || r.Current() != own {
+		t.Errorf("the same process: %v, %+v", err, r.Current())
+	}
+	moved.Born = 200
+	if _, err := r.Announce(moved); err != nil {
+		t.Errorf("another process: %v", err)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -103,8 +103,8 @@
 }
 
 // checkOrder returns an error for an outdated announcement: one of a process that started before the current
-// one, one that arrives after a later announcement of the same process, or one that declares a process ready
-// that is already shutting down. Once the current lease has run out, another process or an earlier announcement is taken, so
+// one, one that arrives after a later announcement of the same process, one that declares a process ready
+// that is already shutting down, or one that names another service of the same process. Once the current lease has run out, another process or an earlier announcement is taken, so
 // that one that was never the upstream's own shuts it out for no longer. It is called with mu held.
 func (r *Registrar) checkOrder(a announcer.Announcement) error {
 	if !isNumbered(a) || !isNumbered(r.current) {
@@ -112,6 +112,8 @@
 	}
 	hasLease := r.clock.Now().Before(r.expiresAt)
 	switch {
+	case hasLease && a.Process() == r.current.Process() && a.Service != r.current.Service:
+		return fmt.Errorf("%w: service: %q: instance %s serves %q", ErrInvalid, a.Service, a.Instance, r.current.Service)
 	case hasLease && a.Born < r.current.Born:
 		return fmt.Errorf("%w: instance %s was born before %s", ErrOutdated, a.Instance, r.current.Instance)
 	case a.Born != r.current.Born || a.Instance != r.current.Instance:
