Tell an attempt whose record has expired as one that may have run

What callers could see (by reading, in the review): a non-idempotent request that ran, whose outcome was asked for more than two minutes later, is told as not run: Resolve bars an attempt without a record, and does not look at expiredUpTo, as Begin does.

Change: such an attempt is StateExpired, which the asking node takes for an unknown outcome. On the wire it is done without an answer, which earlier builds understand.

Evidence: TestExpiredAttemptMayHaveRun; the model test also refuses a barred state of an attempt that has begun.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -338,6 +338,10 @@
 		waitUntilDone(clock, done, min(q.Wait, maxResolveWait))
 		state, answer, _ = r.Resolve(id)
 	}
+	if state == recorder.StateExpired {
+		// The peer takes an attempt that is done and has no answer for one that may have run.
+		state = recorder.StateDone
+	}
 	resp.Header.Set(headerState, string(state))
 	resp.SetBody(answer)
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -28,6 +28,8 @@
 	StateBarred State = "barred"
 	// StateDone means that the outcome of the attempt is known.
 	StateDone State = "done"
+	// StateExpired means that the attempt may have been received before the retention time, and that no more is known.
+	StateExpired State = "expired"
 	// StateRunning means that the attempt was received and has no outcome yet.
 	StateRunning State = "running"
 )
@@ -135,13 +137,16 @@
 }
 
 // Resolve returns the state of an attempt and its answer, if that is known. An attempt that was not received is
-// barred from then on. For a running attempt the channel done is closed when its outcome is known or it is
-// forgotten.
+// barred from then on, unless it may have been received before the retention time. For a running attempt the channel done
+// is closed when its outcome is known or it is forgotten.
 func (r *Recorder) Resolve(id ID) (state State, answer []byte, done <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire()
 	rec, ok := r.records[id]
+	if !ok && r.isExpired(id) {
+		return StateExpired, nil, nil
+	}
 	if !ok {
 		rec = &record{id: id, state: StateBarred}
 		r.records[id] = rec
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -74,11 +74,13 @@
 	switch {
 	case state == StateBarred && m.isRunning(id):
 		t.Fatalf("%v is running but reported as barred", id)
+	case state == StateBarred && m.begun[id]:
+		t.Fatalf("%v has run but is reported as barred", id)
 	case state == StateRunning && !m.isRunning(id):
 		t.Fatalf("%v is not running but reported as running", id)
 	case state == StateDone && !m.begun[id]:
 		t.Fatalf("%v never began but is reported as done", id)
-	case state == StateBarred && !m.begun[id]:
+	case state == StateBarred:
 		m.barred[id] = true
 	}
 }
@@ -129,3 +131,22 @@
 		t.Errorf("a copy that is older than the retention time: %v", err)
 	}
 }
+
+// TestExpiredAttemptMayHaveRun guards against an attempt that has run and is told as barred, which is to say that it has not,
+// because its record has expired.
+func TestExpiredAttemptMayHaveRun(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	r := New(clock)
+	id := ID{Sender: "a.1", Sequence: 7}
+	if err := r.Begin(id); err != nil {
+		t.Fatal(err)
+	}
+	r.Finish(id, []byte("answer"))
+	clock.now = clock.now.Add(DefaultRetention + time.Second)
+	if state, answer, _ := r.Resolve(id); state != StateExpired || answer != nil {
+		t.Errorf("the state of an attempt that has run is %s, with the answer %q", state, answer)
+	}
+	if state, _, _ := r.Resolve(ID{Sender: "a.1", Sequence: 8}); state != StateBarred {
+		t.Errorf("the state of a later attempt that was not received is %s", state)
+	}
+}
