Let a spare look for each replica once, and spare work on each request

Found by reading the change as a newcomer: a spare node that had heard from a replica dropped it from its watch, then found it unheard at the next look and pinged it again, for ever; with a disk on every node each replica would have answered all of them.

Besides: a single header line is not joined, a request's header lines are compared by length first, and the memory of safe requests grows as needed, since each run of an upstream has one.

--- a/internal/executor/crash.go
+++ b/internal/executor/crash.go
@@ -19,7 +19,7 @@
 	ended bool
 	// lost holds when the connections of requests were lost since the last answer, although the process seemed to run.
 	lost map[quarantiner.Fingerprint]time.Time
-	// report is that of the crash or of the last loss that turned out to be none; nil if there was none.
+	// report is that of the crash, or of a loss that is being looked into; nil if there is none.
 	report *crashReport
 	// safe holds the requests that the process has run without a crash.
 	safe *quarantiner.SafeFingerprints
--- a/internal/gossiper/watch.go
+++ b/internal/gossiper/watch.go
@@ -18,7 +18,7 @@
 	// Heard reports whether a packet has arrived from the member since the watch began.
 	Heard bool
 	// Silence is the time since the last packet from the member or, if later, since the watch began or this process
-	// went on after a pause.
+	// went on after a pause. It is zero for a member that was only watched until it was heard.
 	Silence time.Duration
 }
 
@@ -27,12 +27,20 @@
 	heard bool
 	// since is the start of the current silence.
 	since time.Time
+	// untilHeard is true if the watch is over when the member has been heard from.
+	untilHeard bool
+}
+
+// isOver reports whether the member is no longer pinged.
+func (w *watch) isOver() bool {
+	return w.untilHeard && w.heard
 }
 
 // Watch makes the gossiper ping the named members at a fixed interval, which does not grow with the number of members,
-// until the next call of Watch. A member that was watched before keeps its contact; the names need not be known. The
-// pings carry this member's own record, so that a watched member knows it soon.
-func (g *Gossiper) Watch(names []string) {
+// until the next call of Watch or, if untilHeard is true, until a packet from the member arrives. A member that was watched
+// in the same way before keeps its contact; the names need not be known. The pings carry this member's own record, so
+// that a watched member knows it soon.
+func (g *Gossiper) Watch(names []string, untilHeard bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	watched := make(map[string]*watch, len(names))
@@ -41,8 +49,8 @@
 			continue
 		}
 		watched[name] = g.watched[name]
-		if watched[name] == nil {
-			watched[name] = &watch{since: g.clock.Now()}
+		if w := watched[name]; w == nil || w.untilHeard != untilHeard {
+			watched[name] = &watch{since: g.clock.Now(), untilHeard: untilHeard}
 		}
 	}
 	g.watched = watched
@@ -55,7 +63,10 @@
 	now := g.clock.Now()
 	contacts := make(map[string]Contact, len(g.watched))
 	for name, w := range g.watched {
-		contacts[name] = Contact{Heard: w.heard, Silence: now.Sub(w.since)}
+		contacts[name] = Contact{Heard: w.heard}
+		if !w.isOver() {
+			contacts[name] = Contact{Heard: w.heard, Silence: now.Sub(w.since)}
+		}
 	}
 	return contacts
 }
@@ -80,7 +91,7 @@
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(g.watched)) {
-		if m, ok := g.members[name]; ok && m.Status != StatusLeft {
+		if m, ok := g.members[name]; ok && m.Status != StatusLeft && !g.watched[name].isOver() {
 			g.pingWithRecord(m)
 		}
 	}
--- a/internal/headereditor/headereditor.go
+++ b/internal/headereditor/headereditor.go
@@ -55,6 +55,9 @@
 // occurs in several lines therefore equals none of its values.
 func Joined(h Header, name string) string {
 	lines := h.PeekAll(name)
+	if len(lines) == 1 {
+		return string(lines[0])
+	}
 	values := make([]string, 0, len(lines))
 	for _, line := range lines {
 		values = append(values, string(line))
--- a/internal/listener/request.go
+++ b/internal/listener/request.go
@@ -48,7 +48,7 @@
 	}
 	for line := range bytes.Lines(header.RawHeaders()) {
 		name, _, _ := bytes.Cut(line, []byte{':'})
-		if strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+		if len(name) == len(fasthttp.HeaderTransferEncoding) && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
 			return true
 		}
 	}
--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -56,18 +56,14 @@
 }
 
 // Watched returns the names of the nodes that the node itself has to watch, of which there are few however many nodes
-// there are. A replica watches the other replicas and some spare nodes. A spare node watches each replica until
-// it has heard from it, so that the replicas know it soon after its start.
-func Watched(view *View) []string {
-	isReplica := view.isReplica(view.Self)
-	var names []string
+// there are, and whether it watches them only until it has heard from them. A replica watches the other replicas and some
+// spare nodes. A spare node looks for each replica once, so that the replicas know it soon after its start.
+func Watched(view *View) (names []string, untilHeard bool) {
 	for _, replica := range view.Replicas {
-		if isReplica || !view.Contacts[replica.VM].Heard {
-			names = append(names, replica.VM)
-		}
+		names = append(names, replica.VM)
 	}
-	if !isReplica {
-		return names
+	if !view.isReplica(view.Self) {
+		return names, true
 	}
 	watchedSpares := make(map[bool]int)
 	for _, spare := range spareReplicas(view) {
@@ -77,7 +73,7 @@
 			names = append(names, spare.VM)
 		}
 	}
-	return names
+	return names, false
 }
 
 // HasSpare reports whether a live node with a disk holds no replica.
--- a/internal/quarantiner/safe.go
+++ b/internal/quarantiner/safe.go
@@ -17,7 +17,7 @@
 
 // NewSafeFingerprints returns an empty SafeFingerprints.
 func NewSafeFingerprints() *SafeFingerprints {
-	return &SafeFingerprints{known: make(map[Fingerprint]struct{}, maxSafeFingerprints)}
+	return &SafeFingerprints{known: make(map[Fingerprint]struct{})}
 }
 
 // Add records a request that ran without a crash. The oldest fingerprint is dropped if there are maxSafeFingerprints.
