--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -104,8 +104,9 @@
 
 // checkOrder returns an error for an outdated announcement: one of a process that started before the current
 // one, one that arrives after a later announcement of the same process, one that declares a process ready
-// that is already shutting down, or one that names another service of the same process. Once the current lease has run out, another process or an earlier announcement is taken, so
-// that one that was never the upstream's own shuts it out for no longer. It is called with mu held.
+// that is already shutting down, or one that names another service of the same process. Once the current lease has run
+// out, another process or an earlier announcement is taken, so that one that was never the upstream's own shuts it out for
+// no longer. It is called with mu held.
 func (r *Registrar) checkOrder(a announcer.Announcement) error {
 	if !isNumbered(a) || !isNumbered(r.current) {
 		return nil
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -136,8 +136,9 @@
 }
 
 // checkAnswer uses what the upstream reports in the headers of its answer to a request, and removes the headers that
-// concern only its connection or that only nodes may set. The error means that the request was not run (executor.ErrMisdirected, executor.ErrShed)
-// or that the answer lacks the upstream's proof of origin (forwarder.ErrForeign).
+// concern only its connection or that only nodes may set. The error means that the request was not run
+// (executor.ErrMisdirected, executor.ErrShed) or that the answer lacks the upstream's proof of origin
+// (forwarder.ErrForeign).
 func (u *localUpstream) checkAnswer(resp *fasthttp.Response, answer interpreter.Answer, request sentRequest) error {
 	if answer.HasLoad {
 		u.observer.UpdateLoad(answer.Load)
