Keep the watch of replicas out of the budget for spreading updates

Found while it was looked for: pings of a watch and their acks carried pending updates and were charged to the budget for spreading them, so that control nodes ran out of it, and used up the sends of updates on each other.

Change: they carry no updates, the first five this member's own record, and are counted as control bytes ("watch") but not charged.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -48,6 +48,9 @@
 // Transport sends datagrams to other members. Delivery is not guaranteed.
 type Transport interface {
 	Send(to netip.AddrPort, datagram []byte)
+	// SendHeartbeat is like Send for a datagram of a watch. There are few of them, whatever the number of members, and they
+	// take nothing from the budget for spreading updates.
+	SendHeartbeat(to netip.AddrPort, datagram []byte)
 }
 
 // Observer receives the events of a Gossiper. Its methods are called without a lock held.
@@ -167,7 +170,9 @@
 // datagram is an encoded packet in the outbox.
 type datagram struct {
 	data []byte
-	to   netip.AddrPort
+	// isHeartbeat is true for a ping of a watch and its ack.
+	isHeartbeat bool
+	to          netip.AddrPort
 }
 
 // senderState is what a received packet reveals of its sender: the document version and whether its
@@ -266,7 +271,11 @@
 	g.isNotifying = true
 	g.mu.Unlock()
 	for _, d := range outbox {
-		g.transport.Send(d.to, d.data)
+		if d.isHeartbeat {
+			g.transport.SendHeartbeat(d.to, d.data)
+		} else {
+			g.transport.Send(d.to, d.data)
+		}
 	}
 	if isNotifying {
 		return
@@ -304,9 +313,7 @@
 func (g *Gossiper) handle(now time.Time, from netip.AddrPort, p *Packet) {
 	switch p.Kind {
 	case KindPing:
-		if p.Target == "" || p.Target == g.self {
-			g.enqueue(from, &Packet{Kind: KindAck, Sequence: p.Sequence})
-		}
+		g.acknowledge(from, p)
 	case KindAck:
 		g.handleAck(now, p.Sequence)
 	case KindIndirectPing:
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -87,11 +87,16 @@
 // Send implements Transport: it counts the bytes, and delivers the datagram after oneWayDelay unless it is
 // lost, crosses the partition or finds its target stopped.
 func (e endpoint) Send(to netip.AddrPort, datagram []byte) {
-	n := e.net
-	n.bytesSent[e.name] += len(datagram) + headerBytes
-	if budget := n.budgets[e.name]; budget != nil {
+	if budget := e.net.budgets[e.name]; budget != nil {
 		budget.Charge(len(datagram) + headerBytes)
 	}
+	e.SendHeartbeat(to, datagram)
+}
+
+// SendHeartbeat implements Transport.
+func (e endpoint) SendHeartbeat(to netip.AddrPort, datagram []byte) {
+	n := e.net
+	n.bytesSent[e.name] += len(datagram) + headerBytes
 	target, ok := n.namesByAddress[to]
 	if !ok || n.random.Float64() < n.lossRate || n.partition[target] != n.partition[e.name] {
 		return
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -154,12 +154,17 @@
 // enqueue fills in the sender's fields of a packet, adds pending updates up to maxPiggyback records, and
 // queues it in the outbox. Records that don't fit into MaxPacketBytes are cut off the end.
 func (g *Gossiper) enqueue(to netip.AddrPort, p *Packet) {
+	p.Members = append(p.Members, g.piggyback(maxPiggyback-len(p.Members))...)
+	g.enqueueAsIs(to, p, false)
+}
+
+// enqueueAsIs fills in the sender's fields of a packet and queues it in the outbox, without pending updates.
+func (g *Gossiper) enqueueAsIs(to netip.AddrPort, p *Packet, isHeartbeat bool) {
 	p.Sender = g.self
 	p.Version = g.version
 	if p.Kind == KindPing || p.Kind == KindAck {
 		p.ViewHash = g.viewHash
 	}
-	p.Members = append(p.Members, g.piggyback(maxPiggyback-len(p.Members))...)
 	data, err := g.codec.Encode(p)
 	for err == nil && len(data) > MaxPacketBytes && len(p.Members) > 0 {
 		p.Members = p.Members[:len(p.Members)-1]
@@ -170,7 +175,7 @@
 	}
 	g.counters.PacketsSent++
 	g.counters.BytesSent += uint64(len(data))
-	g.outbox = append(g.outbox, datagram{data: data, to: to})
+	g.outbox = append(g.outbox, datagram{data: data, isHeartbeat: isHeartbeat, to: to})
 }
 
 // spreadTime is how long an update usually takes to reach all members.
--- a/internal/gossiper/watch.go
+++ b/internal/gossiper/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 	watchTicks = 2
 	// maxTickGap is the time between two ticks above which this process itself was paused.
 	maxTickGap = 3 * TickInterval
+	// introductions is the number of pings of a watch that carry this member's own record. The watched member may know that
+	// of an earlier process, or of another disk.
+	introductions = 5
 )
 
 // Contact tells how long ago a watched member was last heard from.
@@ -25,6 +29,8 @@
 // watch is the state of one watched member.
 type watch struct {
 	heard bool
+	// pings is the number of pings so far.
+	pings int
 	// since is the start of the current silence.
 	since time.Time
 	// untilHeard is true if the watch is over when the member has been heard from.
@@ -38,8 +44,8 @@
 
 // Watch makes the gossiper ping the named members at a fixed interval, which does not grow with the number of members,
 // until the next call of Watch or, if untilHeard is true, until a packet from the member arrives. A member that was watched
-// in the same way before keeps its contact; the names need not be known. The pings carry this member's own record, so
-// that a watched member knows it soon.
+// in the same way before keeps its contact; the names need not be known. The first pings carry this member's own record, so
+// that a watched member knows this one soon.
 func (g *Gossiper) Watch(names []string, untilHeard bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -92,12 +98,32 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(g.watched)) {
 		if m, ok := g.members[name]; ok && m.Status != StatusLeft && !g.watched[name].isOver() {
-			g.pingWithRecord(m)
+			g.sendHeartbeat(m, g.watched[name])
 		}
 	}
 }
 
-// pingWithRecord pings a member and sends it this member's own record. It belongs to no probe.
-func (g *Gossiper) pingWithRecord(target *entry) {
-	g.enqueue(target.Control, &Packet{Kind: KindPing, Members: []Member{g.members[g.self].Member}, Target: target.Name})
+// sendHeartbeat pings a watched member, with this member's own record at first and until it was heard from. The ping belongs
+// to no probe.
+func (g *Gossiper) sendHeartbeat(target *entry, w *watch) {
+	p := &Packet{Kind: KindPing, Target: target.Name}
+	w.pings++
+	if !w.heard || w.pings <= introductions {
+		p.Members = []Member{g.members[g.self].Member}
+	}
+	g.enqueueAsIs(target.Control, p, true)
+}
+
+// acknowledge answers a ping, unless it is meant for another member. A ping that belongs to no probe is answered without
+// updates.
+func (g *Gossiper) acknowledge(from netip.AddrPort, ping *Packet) {
+	if ping.Target != "" && ping.Target != g.self {
+		return
+	}
+	ack := &Packet{Kind: KindAck, Sequence: ping.Sequence}
+	if ping.Sequence == 0 && ping.Target != "" {
+		g.enqueueAsIs(from, ack, true)
+		return
+	}
+	g.enqueue(from, ack)
 }
--- a/internal/gossiper/watch_test.go
+++ b/internal/gossiper/watch_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 const (
@@ -91,3 +94,47 @@
 		t.Errorf("%d packets in %s after it was found, %d without a watch", afterwards, period, unwatched)
 	}
 }
+
+// TestWatchLeavesBudgetForUpdates guards against replicas whose watch uses up their budget for spreading, or the sends of
+// their updates, so that changes of members and versions reach the others late.
+func TestWatchLeavesBudgetForUpdates(t *testing.T) {
+	const (
+		members, replicas = 63, 5
+		gossipRate        = 2450 // Bytes per second.
+	)
+	spread := func(watches bool) (overBudget uint64, inForce time.Duration) {
+		n := newNetwork(t, members)
+		for name := range n.gossipers {
+			n.budgets[name] = budgeter.NewBytes(n, gossipRate)
+		}
+		var names []string
+		for i := range replicas {
+			names = append(names, memberName(i))
+		}
+		if watches {
+			for _, name := range names {
+				n.gossipers[name].Watch(names, false)
+			}
+		}
+		n.run(10 * time.Second)
+		for round := range 20 {
+			n.gossipers[names[0]].SetVersion(uint64(round + 1))
+			for i := range 5 {
+				name := memberName(replicas + (5*round+i)%(members-replicas))
+				n.gossipers[name].SetUpstream(announcer.Announcement{Service: "s", Slots: round + 1, State: announcer.StateReady})
+			}
+			n.run(300 * time.Millisecond)
+		}
+		inForce, _ = n.runUntil(10*time.Second, func(g *Gossiper) bool { return g.version == 20 })
+		for _, name := range names {
+			overBudget += n.gossipers[name].Counters().OverBudget
+		}
+		return overBudget, inForce
+	}
+	overWithout, without := spread(false)
+	overWith, with := spread(true)
+	t.Logf("in force everywhere after %s, over budget %d times; with a watch after %s, %d times", without, overWithout, with, overWith)
+	if overWith > overWithout+2 || with > without+2*TickInterval {
+		t.Errorf("with a watch: over budget %d times and in force after %s; without: %d times, %s", overWith, with, overWithout, without)
+	}
+}
--- a/internal/maintainer/members_test.go
+++ b/internal/maintainer/members_test.go
@@ -107,6 +107,11 @@
 	})
 }
 
+// SendHeartbeat implements gossiper.Transport.
+func (p *process) SendHeartbeat(to netip.AddrPort, datagram []byte) {
+	p.Send(to, datagram)
+}
+
 // answerFor acknowledges a ping in place of a member without a disk.
 func (p *process) answerFor(name string, address netip.AddrPort, datagram []byte) {
 	packet, err := p.fleet.codec.Decode(datagram)
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -386,6 +386,16 @@
 	_, _ = n.udpConn.WriteToUDPAddrPort(datagram, to)
 }
 
+// SendHeartbeat implements gossiper.Transport.
+func (n *Node) SendHeartbeat(to netip.AddrPort, datagram []byte) {
+	if n.udpConn == nil {
+		return
+	}
+	n.meter.AddControlBytes("watch", len(datagram)+datagramHeaderBytes)
+	// A failed send is treated like a lost datagram.
+	_, _ = n.udpConn.WriteToUDPAddrPort(datagram, to)
+}
+
 // Drain stops new work, announces to the other nodes that this one leaves, and waits up to drainTimeout for the
 // requests in flight.
 func (n *Node) Drain() {
