--- a/internal/maintainer/fleet_test.go
+++ b/internal/maintainer/fleet_test.go
@@ -290,7 +290,9 @@
 		return none, err
 	}
 	reply, err := handle(peer)
-	timekeeper.Sleep(ctx, timekeeper.System{}, p.fleet.syncTime)
+	if p.fleet.syncTime > 0 {
+		timekeeper.Sleep(ctx, timekeeper.System{}, p.fleet.syncTime)
+	}
 	timekeeper.Sleep(ctx, timekeeper.System{}, p.fleet.randomDuration(maxLatency/5, maxLatency))
 	if again, lostErr := p.peer(name); lostErr != nil || again != peer {
 		<-ctx.Done()
