--- a/internal/maintainer/losses_test.go
+++ b/internal/maintainer/losses_test.go
@@ -81,12 +81,17 @@
 
 // form starts the VMs and creates the register on three of them.
 func (m *lossModel) form() {
+	for range coreSize {
+		m.add()
+	}
+	m.createRegister()
+}
+
+// createRegister creates the register on the first members and waits until it is on all of them.
+func (m *lossModel) createRegister() {
 	var seeds []replicator.Replica
-	for i := range coreSize {
-		name := m.add()
-		if i < 3 {
-			seeds = append(seeds, replicator.Replica{DiskID: m.vms[name].diskID, VM: name})
-		}
+	for _, name := range m.members[:seedCount] {
+		seeds = append(seeds, replicator.Replica{DiskID: m.vms[name].diskID, VM: name})
 	}
 	first := m.running()[0]
 	value, err := first.proposer.CreateEmpty(context.Background(), seeds)
@@ -95,8 +100,8 @@
 	}
 	first.publish(value)
 	time.Sleep(catchUpTime)
-	if replicas := first.current().Replicas; len(replicas) != coreSize {
-		m.tb.Fatalf("the register is on %d VMs after %s", len(replicas), catchUpTime)
+	if replicas := first.current().Replicas; len(replicas) != len(m.members) {
+		m.tb.Fatalf("the register is on %d VMs of %d after %s", len(replicas), len(m.members), catchUpTime)
 	}
 }
 
--- a/internal/maintainer/replacement_test.go
+++ b/internal/maintainer/replacement_test.go
@@ -119,24 +119,11 @@
 
 // formOn starts count VMs and creates the register on three of them.
 func (m *lossModel) formOn(count int) {
-	var seeds []replicator.Replica
 	for i := range count {
-		name := m.addNamed(fmt.Sprintf("vm-%02d", i))
-		if i < seedCount {
-			seeds = append(seeds, replicator.Replica{DiskID: m.vms[name].diskID, VM: name})
-		}
+		m.addNamed(fmt.Sprintf("vm-%02d", i))
 	}
 	time.Sleep(time.Second)
-	first := m.running()[0]
-	value, err := first.proposer.CreateEmpty(context.Background(), seeds)
-	if err != nil {
-		m.tb.Fatal(err)
-	}
-	first.publish(value)
-	time.Sleep(catchUpTime)
-	if replicas := first.current().Replicas; len(replicas) != count {
-		m.tb.Fatalf("the register is on %d VMs of %d", len(replicas), count)
-	}
+	m.createRegister()
 }
 
 // addNamed starts a new VM.
