Play whole nodes in virtual time, and show changes that are not in force in time

Callers see that a change which was acknowledged is not in force within config_apply_s (2 s).

A node opens its sockets through an interface (relayer.WithNetwork), so that a test can run whole nodes in virtual time, connected by a network in memory whose kept connections turn silent, whose VMs are cut off or lose power. The scenarios are data files. Nothing of a node's behaviour changes.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -77,6 +77,7 @@
 	handlers map[string]Handler
 	key      *signer.Signer
 	counter  ByteCounter
+	dial     dialer.DialFunc
 
 	// running counts the calls of peers that are being handled or replied to.
 	running sync.WaitGroup
@@ -116,14 +117,27 @@
 
 // New returns a messenger that signs with key and counts the sent bytes with counter. Handle must be called before
 // Serve.
-func New(key *signer.Signer, counter ByteCounter) *Messenger {
-	return &Messenger{
+func New(key *signer.Signer, counter ByteCounter, options ...Option) *Messenger {
+	m := &Messenger{
 		accepted: make(map[*jsonrpc2.Conn]net.Conn),
 		outgoing: make(map[endpoint]*outgoingConn),
 		handlers: make(map[string]Handler),
 		key:      key,
 		counter:  counter,
+		dial:     dialer.Dial,
 	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
+}
+
+// Option configures a Messenger that New returns.
+type Option func(*Messenger)
+
+// WithDialer replaces the TCP dialer. The function gets the peer's address and the dial timeout.
+func WithDialer(dial dialer.DialFunc) Option {
+	return func(m *Messenger) { m.dial = dial }
 }
 
 // Handle registers the handler of a method. It must not be called after Serve, Call or Notify.
@@ -264,7 +278,7 @@
 	if !ok {
 		out = &outgoingConn{ready: make(chan struct{})}
 		m.outgoing[to] = out
-		go m.dial(to, out)
+		go m.open(to, out)
 	}
 	m.mu.Unlock()
 	select {
@@ -278,10 +292,10 @@
 	return out.conn, nil
 }
 
-// dial opens and authenticates the connection out, which is removed when it fails or disconnects.
-func (m *Messenger) dial(to endpoint, out *outgoingConn) {
+// open dials and authenticates the connection out, which is removed when it fails or disconnects.
+func (m *Messenger) open(to endpoint, out *outgoingConn) {
 	defer close(out.ready)
-	raw, err := dialer.Dial(to.address, dialTimeout)
+	raw, err := m.dial(to.address, dialTimeout)
 	if err == nil {
 		err = handshakeClient(raw, m.key, to.purpose)
 		if err != nil {
--- /dev/null
+++ b/internal/relayer/memorynetwork_test.go
@@ -0,0 +1,280 @@
+package relayer_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/relayer"
+)
+
+// memoryLatency is the one-way latency of a memoryNetwork.
+const memoryLatency = time.Millisecond
+
+// datagramQueue is the number of datagrams that wait to be read by a memoryPacketConn; further ones are lost.
+const datagramQueue = 4096
+
+var errNoListener = errors.New("connection refused")
+
+// memoryNetwork connects VMs in one process, for runs in virtual time. Each VM has an IP address of its own. Kept
+// connections can become silent, and VMs can be cut off from others or lose their power.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	conns     map[*memoryConn]struct{}
+	cuts      map[link]bool
+	dark      map[netip.Addr]bool
+	listeners map[netip.AddrPort]*memoryListener
+	// lossPercent is the part of the datagrams that is lost.
+	lossPercent int
+	packetConns map[netip.AddrPort]*memoryPacketConn
+	random      *rand.Rand
+}
+
+// link is the way from one VM to another.
+type link struct{ from, to netip.Addr }
+
+// memoryConn is a connection between two VMs.
+type memoryConn struct {
+	client, server netip.Addr
+	// isSilent is true if bytes no longer arrive in either direction. It is guarded by the network's mutex.
+	isSilent bool
+}
+
+// vmNetwork is the network as one VM sees it. It implements relayer.Network.
+type vmNetwork struct {
+	*memoryNetwork
+	vm netip.Addr
+}
+
+func newMemoryNetwork(seed uint64) *memoryNetwork {
+	return &memoryNetwork{
+		conns: make(map[*memoryConn]struct{}), cuts: make(map[link]bool), dark: make(map[netip.Addr]bool),
+		listeners: make(map[netip.AddrPort]*memoryListener), packetConns: make(map[netip.AddrPort]*memoryPacketConn),
+		random: rand.New(rand.NewPCG(seed, 42)),
+	}
+}
+
+// at returns the network as the VM sees it.
+func (m *memoryNetwork) at(vm netip.Addr) relayer.Network {
+	return vmNetwork{memoryNetwork: m, vm: vm}
+}
+
+// reaches reports whether a packet gets from one VM to the other. It is called with mu held.
+func (m *memoryNetwork) reaches(from, to netip.Addr) bool {
+	return !m.cuts[link{from, to}] && !m.dark[from] && !m.dark[to]
+}
+
+// silence makes the kept connections between two groups of VMs silent for good, while new ones work. It returns their
+// number.
+func (m *memoryNetwork) silence(some, others map[netip.Addr]bool) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for conn := range m.conns {
+		if some[conn.client] && others[conn.server] || some[conn.server] && others[conn.client] {
+			conn.isSilent = true
+			count++
+		}
+	}
+	return count
+}
+
+// cut cuts the group of VMs off from the others, or ends that. Connections that were cut stay silent afterwards, as those
+// whose sender waits ever longer before it sends again.
+func (m *memoryNetwork) cut(some, others map[netip.Addr]bool, isCut bool) {
+	m.mu.Lock()
+	for a := range some {
+		for b := range others {
+			m.cuts[link{a, b}], m.cuts[link{b, a}] = isCut, isCut
+		}
+	}
+	m.mu.Unlock()
+	if isCut {
+		m.silence(some, others)
+	}
+}
+
+// cutPower makes a VM disappear without closing its connections.
+func (m *memoryNetwork) cutPower(vm netip.Addr) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dark[vm] = true
+	for conn := range m.conns {
+		if conn.client == vm || conn.server == vm {
+			conn.isSilent = true
+		}
+	}
+}
+
+// Dial implements relayer.Network.
+func (v vmNetwork) Dial(address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	time.Sleep(2 * memoryLatency)
+	v.mu.Lock()
+	listener := v.listeners[address]
+	if !v.reaches(v.vm, address.Addr()) {
+		v.mu.Unlock()
+		time.Sleep(timeout)
+		return nil, os.ErrDeadlineExceeded
+	}
+	if listener == nil {
+		v.mu.Unlock()
+		return nil, errNoListener
+	}
+	conn := &memoryConn{client: v.vm, server: address.Addr()}
+	v.conns[conn] = struct{}{}
+	v.mu.Unlock()
+	client, clientSide := net.Pipe()
+	server, serverSide := net.Pipe()
+	go v.forward(conn, clientSide, serverSide)
+	go v.forward(conn, serverSide, clientSide)
+	select {
+	case listener.accepted <- server:
+	case <-listener.closed:
+		_ = client.Close()
+		_ = server.Close()
+		return nil, errNoListener
+	}
+	return client, nil
+}
+
+// forward copies bytes from one end to the other, and the end of the connection, unless the connection is silent.
+func (m *memoryNetwork) forward(conn *memoryConn, from, to net.Conn) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			break
+		}
+		time.Sleep(memoryLatency)
+		if m.isSilent(conn) {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			break
+		}
+	}
+	_ = from.Close()
+	if !m.isSilent(conn) {
+		_ = to.Close()
+	}
+	m.mu.Lock()
+	delete(m.conns, conn)
+	m.mu.Unlock()
+}
+
+func (m *memoryNetwork) isSilent(conn *memoryConn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return conn.isSilent
+}
+
+// memoryListener is a net.Listener of a memoryNetwork.
+type memoryListener struct {
+	accepted chan net.Conn
+	address  netip.AddrPort
+	closed   chan struct{}
+	closing  sync.Once
+	network  *memoryNetwork
+}
+
+// Listen implements relayer.Network.
+func (v vmNetwork) Listen(address netip.AddrPort) (net.Listener, error) {
+	l := &memoryListener{accepted: make(chan net.Conn), address: address, closed: make(chan struct{}), network: v.memoryNetwork}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listeners[address] = l
+	return l, nil
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.closing.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(l.address)
+}
+
+// datagram is a datagram that waits to be read.
+type datagram struct {
+	data []byte
+	from netip.AddrPort
+}
+
+// memoryPacketConn is a relayer.PacketConn of a memoryNetwork.
+type memoryPacketConn struct {
+	address netip.AddrPort
+	arrived chan datagram
+	closed  chan struct{}
+	closing sync.Once
+	network *memoryNetwork
+}
+
+// ListenPacket implements relayer.Network.
+func (v vmNetwork) ListenPacket(address netip.AddrPort) (relayer.PacketConn, error) {
+	p := &memoryPacketConn{
+		address: address, arrived: make(chan datagram, datagramQueue), closed: make(chan struct{}), network: v.memoryNetwork,
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.packetConns[address] = p
+	return p, nil
+}
+
+// Close implements relayer.PacketConn.
+func (p *memoryPacketConn) Close() error {
+	p.closing.Do(func() { close(p.closed) })
+	return nil
+}
+
+// ReadFromUDPAddrPort implements relayer.PacketConn.
+func (p *memoryPacketConn) ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error) {
+	select {
+	case d := <-p.arrived:
+		return copy(b, d.data), d.from, nil
+	case <-p.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+// WriteToUDPAddrPort implements relayer.PacketConn.
+func (p *memoryPacketConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error) {
+	m := p.network
+	m.mu.Lock()
+	target := m.packetConns[to]
+	isLost := target == nil || !m.reaches(p.address.Addr(), to.Addr()) || m.random.IntN(100) < m.lossPercent
+	m.mu.Unlock()
+	if !isLost {
+		d := datagram{data: append([]byte(nil), b...), from: p.address}
+		time.AfterFunc(memoryLatency, func() {
+			select {
+			case target.arrived <- d:
+			default:
+			}
+		})
+	}
+	return len(b), nil
+}
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -88,6 +88,7 @@
 	membershipBudget *budgeter.Bytes
 	messenger        *messenger.Messenger
 	meter            *meter.Meter
+	network          Network
 	crashReplayQueue chan gossiper.Member
 	quarantiner      *quarantiner.Quarantiner
 	recorder         *recorder.Recorder
@@ -108,7 +109,7 @@
 
 	tasks    sync.WaitGroup
 	sockets  []net.Listener
-	udpConn  *net.UDPConn
+	udpConn  PacketConn
 	draining atomic.Bool
 	events   *eventLog
 	started  time.Time
@@ -133,6 +134,7 @@
 	n.peakNodes = newPeakNodeCount(n.clock)
 	n.interpreter = interpreter.Native{}
 	n.parseDocument = validator.Parse
+	n.network = systemNetwork{}
 	n.policy = router.Weighted{}
 	n.peerOptions = []forwarder.Option{forwarder.WithMaxBody(settings.MaxBodyBytes + settings.MaxHeaderBytes)}
 	for _, option := range options {
@@ -142,7 +144,7 @@
 	n.bindingBudget = budgeter.NewBytes(n.clock, bindingShare*defaultControlBytesPerSecond)
 	n.gossipBudget = budgeter.NewBytes(n.clock, gossipShare*defaultControlBytesPerSecond)
 	n.membershipBudget = budgeter.NewBytes(n.clock, membershipShare*defaultControlBytesPerSecond)
-	n.messenger = messenger.New(secrets.PeerSigner, controlByteCounter{n})
+	n.messenger = messenger.New(secrets.PeerSigner, controlByteCounter{n}, messenger.WithDialer(n.network.Dial))
 	n.quarantiner = quarantiner.New(n.clock, n.requestQuarantined)
 	n.recorder = recorder.New(n.clock)
 	n.claimTable = claimer.NewTable(n.clock)
--- a/internal/relayer/options.go
+++ b/internal/relayer/options.go
@@ -43,3 +43,11 @@
 func WithForwarderOptions(options ...forwarder.Option) Option {
 	return func(n *Node) { n.peerOptions = append(n.peerOptions, options...) }
 }
+
+// WithNetwork replaces the operating system's network.
+func WithNetwork(network Network) Option {
+	return func(n *Node) {
+		n.network = network
+		n.peerOptions = append(n.peerOptions, forwarder.WithDialer(network.Dial))
+	}
+}
--- /dev/null
+++ b/internal/relayer/spread_test.go
@@ -0,0 +1,348 @@
+package relayer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/relayer"
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
+	"github.com/marigoldrelay/marigoldrelay/internal/signer"
+	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
+	"github.com/marigoldrelay/marigoldrelay/internal/validator"
+)
+
+const (
+	// applyBound is the time after an acknowledgement within which a version must be in force at every node that is in touch.
+	applyBound = 2 * time.Second
+	// spreadReplicas is the number of nodes with a disk.
+	spreadReplicas = 5
+	// spreadFormTime is how long the nodes have to find each other and to form the register.
+	spreadFormTime = 12 * time.Second
+	// checkInterval is the time between two looks at the nodes.
+	checkInterval = 20 * time.Millisecond
+	// changeLimit is how long an operator waits for the answer to a change.
+	changeLimit = 900 * time.Millisecond
+)
+
+// spreadScenario is a test of how changes reach the nodes, in a data file.
+type spreadScenario struct {
+	// About tells what happens.
+	About string `json:"about"`
+	Seed  uint64 `json:"seed"`
+	// Members is the number of nodes.
+	Members int `json:"members"`
+	// Routes is the number of routes that are added to the document.
+	Routes int `json:"routes"`
+	// LossPercent is the part of the datagrams that is lost.
+	LossPercent int          `json:"loss-percent"`
+	Steps       []spreadStep `json:"steps"`
+}
+
+// spreadStep is an event of a scenario.
+type spreadStep struct {
+	At validator.Duration `json:"at"`
+	// Do is one of the actions below.
+	Do spreadAction `json:"do"`
+	// Nodes are the numbers of the nodes that it concerns; those with a disk come first.
+	Nodes []int `json:"nodes"`
+	// Count is the number of changes of a storm, and Gap the time between them.
+	Count int                `json:"count"`
+	Gap   validator.Duration `json:"gap"`
+}
+
+// spreadAction is what happens in a step.
+type spreadAction string
+
+const (
+	// actionChange sends changes to the first of the nodes, or to each in turn.
+	actionChange spreadAction = "change"
+	// actionSilence makes the kept connections between the nodes and all others silent, or all connections.
+	actionSilence spreadAction = "silence"
+	// actionCut cuts the nodes off from all others.
+	actionCut spreadAction = "cut"
+	// actionChangeAndCutPower sends a change to the first of the nodes; all of them lose power as it is acknowledged.
+	actionChangeAndCutPower spreadAction = "change-and-cut-power"
+	// actionChangeAndCut is the same with a cut of the nodes from all others.
+	actionChangeAndCut spreadAction = "change-and-cut"
+	// actionInterruptedChange sends a change to the first of the nodes, which all lose power after the gap, and sends it
+	// again to other nodes with a disk until it is acknowledged.
+	actionInterruptedChange spreadAction = "interrupted-change"
+)
+
+// spreadFleet is a deployment in virtual time whose operator makes changes.
+type spreadFleet struct {
+	t        *testing.T
+	scenario *spreadScenario
+	network  *memoryNetwork
+	nodes    []*relayer.Node
+	vms      []netip.Addr
+	// outOfTouch holds the numbers of the nodes that were cut off or have lost power.
+	outOfTouch map[int]bool
+	text       string
+	version    uint64
+}
+
+// TestAcknowledgedChangesSpreadInTime guards against a change that is acknowledged and not in force at a node in touch
+// within config_apply_s: because a kept connection is silent, a member that told of it is cut off, or whoever acknowledged
+// it ends before anybody else was told.
+func TestAcknowledgedChangesSpreadInTime(t *testing.T) {
+	playSpreadScenarios(t, "testdata/spread/*.json")
+}
+
+// TestSpreadingToManyMembers is TestAcknowledgedChangesSpreadInTime in deployments of hundreds of nodes.
+func TestSpreadingToManyMembers(t *testing.T) {
+	playSpreadScenarios(t, "testdata/spread/many/*.json")
+}
+
+// playSpreadScenarios plays the scenarios in the data files that match the pattern, in virtual time.
+func playSpreadScenarios(t *testing.T, pattern string) {
+	files, err := filepath.Glob(pattern)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts it outside
+	// the synctest bubble.
+	carrier.EncodeResponse(&fasthttp.Response{})
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			skipper.KnownRed(t)
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			scenario := &spreadScenario{}
+			if err := validator.DecodeStrict(text, scenario); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Test(t, func(t *testing.T) { playSpread(t, scenario) })
+		})
+	}
+}
+
+// playSpread plays a scenario.
+func playSpread(t *testing.T, scenario *spreadScenario) {
+	f := &spreadFleet{t: t, scenario: scenario, network: newMemoryNetwork(scenario.Seed), outOfTouch: make(map[int]bool)}
+	f.network.lossPercent = scenario.LossPercent
+	f.text = documentWithRoutes(t, scenario.Routes)
+	for i := range scenario.Members {
+		f.vms = append(f.vms, netip.AddrFrom4([4]byte{127, 42, byte(i / 250), byte(1 + i%250)}))
+	}
+	for i := range f.vms {
+		f.start(i)
+	}
+	defer func() {
+		for _, node := range f.nodes {
+			node.Abort()
+		}
+		// The calls that are under way end at their timeouts.
+		time.Sleep(time.Minute)
+	}()
+	time.Sleep(spreadFormTime)
+	f.change(0)
+	time.Sleep(2 * applyBound)
+	started := time.Now()
+	for _, step := range scenario.Steps {
+		time.Sleep(time.Until(started.Add(step.At.Std())))
+		f.take(&step)
+	}
+}
+
+// documentWithRoutes returns the demonstration's document with further routes.
+func documentWithRoutes(t *testing.T, count int) string {
+	t.Helper()
+	text, err := os.ReadFile("../demonstrator/document.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	document, err := validator.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range count {
+		route := document.Routes[0]
+		route.PathPrefix = fmt.Sprintf("/further/%d", i)
+		document.Routes = append(document.Routes, route)
+	}
+	encoded, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(encoded)
+}
+
+// start starts the node with the number.
+func (f *spreadFleet) start(number int) {
+	f.t.Helper()
+	peerSigner, err := signer.New([]byte("a key for the tests only"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	settings := &settingsreader.Settings{
+		ControlAddress: netip.AddrPortFrom(f.vms[number], 7660), PeerAddress: netip.AddrPortFrom(f.vms[number], 7661),
+		DataCentre: fmt.Sprintf("dc-%d", number%3), Region: "here", LogLinesPerSecond: 1, Name: fmt.Sprintf("vm-%03d", number),
+		MaxBodyBytes: settingsreader.DefaultMaxBodyBytes, MaxHeaderBytes: settingsreader.DefaultMaxHeaderBytes,
+		Bootstrap: true, SelfForming: true, ToleratedLosses: spreadReplicas / 2, UpstreamLease: validator.Duration(time.Second),
+	}
+	if number < spreadReplicas {
+		settings.DataFolder = f.t.TempDir()
+	}
+	for _, vm := range f.vms[:3] {
+		settings.Seeds = append(settings.Seeds, netip.AddrPortFrom(vm, 7660))
+	}
+	secrets := &settingsreader.Secrets{AdminToken: []byte("a token for the tests"), PeerSigner: peerSigner}
+	node, err := relayer.New(settings, secrets, log.NewNopLogger(), relayer.WithNetwork(f.network.at(f.vms[number])))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := node.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes = append(f.nodes, node)
+}
+
+// take carries out a step.
+func (f *spreadFleet) take(step *spreadStep) {
+	switch step.Do {
+	case actionChange:
+		f.storm(step)
+	case actionSilence:
+		if f.network.silence(f.group(step.Nodes)) == 0 {
+			f.t.Error("no connection was open")
+		}
+	case actionCut:
+		f.cut(step.Nodes)
+	case actionChangeAndCut:
+		f.sendChange(step.Nodes[0])
+		f.cut(step.Nodes)
+		f.checkSpread()
+	case actionChangeAndCutPower:
+		f.sendChange(step.Nodes[0])
+		f.cutPower(step.Nodes)
+		f.checkSpread()
+	case actionInterruptedChange:
+		f.interruptChange(step)
+	default:
+		f.t.Fatalf("no action %q", step.Do)
+	}
+}
+
+// cutPower ends the nodes, without a word to the others.
+func (f *spreadFleet) cutPower(numbers []int) {
+	for _, number := range numbers {
+		f.outOfTouch[number] = true
+		f.network.cutPower(f.vms[number])
+	}
+}
+
+// interruptChange carries out actionInterruptedChange.
+func (f *spreadFleet) interruptChange(step *spreadStep) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
+	defer cancel()
+	// The operator gets no answer.
+	go func() { _ = f.nodes[step.Nodes[0]].Change(ctx, f.nextChange()) }()
+	time.Sleep(step.Gap.Std())
+	f.cutPower(step.Nodes)
+	for number := range spreadReplicas {
+		if !f.outOfTouch[number] {
+			f.change(number)
+			return
+		}
+	}
+}
+
+// nextChange returns the change that makes the next version.
+func (f *spreadFleet) nextChange() *replicator.Change {
+	next := f.version + 1
+	return &replicator.Change{Base: f.version, ID: fmt.Sprint(next), Text: f.text, Version: next}
+}
+
+// storm sends changes to the nodes of the step in turn and checks that the last one spreads.
+func (f *spreadFleet) storm(step *spreadStep) {
+	for i := range max(1, step.Count) {
+		f.sendChange(step.Nodes[i%len(step.Nodes)])
+		time.Sleep(step.Gap.Std())
+	}
+	f.checkSpread()
+}
+
+// change makes a change through a node and checks that it spreads.
+func (f *spreadFleet) change(number int) {
+	f.sendChange(number)
+	f.checkSpread()
+}
+
+// sendChange sends a change to a node until it is acknowledged.
+func (f *spreadFleet) sendChange(number int) {
+	f.t.Helper()
+	change := f.nextChange()
+	for deadline := time.Now().Add(spreadFormTime); ; {
+		ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
+		err := f.nodes[number].Change(ctx, change)
+		cancel()
+		if err == nil {
+			f.version = change.Version
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("version %d is not acknowledged: %v", change.Version, err)
+		}
+		time.Sleep(checkInterval)
+	}
+}
+
+// checkSpread waits until the newest version, acknowledged just now, is in force at all nodes in touch, and fails the test
+// if that takes longer than applyBound.
+func (f *spreadFleet) checkSpread() {
+	f.t.Helper()
+	acknowledged := time.Now()
+	last := time.Duration(0)
+	for i, node := range f.nodes {
+		for !f.outOfTouch[i] && node.Status().DocumentVersion < f.version {
+			last = time.Since(acknowledged)
+			if last > applyBound {
+				f.t.Errorf("version %d is not in force at node %d %s after its acknowledgement", f.version, i, applyBound)
+				return
+			}
+			time.Sleep(checkInterval)
+		}
+	}
+	f.t.Logf("version %d was in force everywhere after %s", f.version, last)
+}
+
+// cut cuts the nodes off from all others.
+func (f *spreadFleet) cut(numbers []int) {
+	for _, number := range numbers {
+		f.outOfTouch[number] = true
+	}
+	some, others := f.group(numbers)
+	f.network.cut(some, others, true)
+}
+
+// group returns the VMs of the nodes, and all others. Without nodes, it returns all VMs twice.
+func (f *spreadFleet) group(numbers []int) (some, others map[netip.Addr]bool) {
+	some, others = make(map[netip.Addr]bool), make(map[netip.Addr]bool)
+	for _, vm := range f.vms {
+		others[vm] = true
+	}
+	if len(numbers) == 0 {
+		return others, others
+	}
+	for _, number := range numbers {
+		some[f.vms[number]] = true
+		delete(others, f.vms[number])
+	}
+	return some, others
+}
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -115,20 +115,20 @@
 		}
 	}
 	for _, e := range endpoints {
-		socket, err := net.Listen("tcp", e.address.String())
+		socket, err := n.network.Listen(e.address)
 		if err != nil {
 			closeOpened()
 			return merry.Prepend(err, e.setting)
 		}
 		opened = append(opened, socket)
 	}
-	control, err := net.Listen("tcp", n.settings.ControlAddress.String())
+	control, err := n.network.Listen(n.settings.ControlAddress)
 	if err != nil {
 		closeOpened()
 		return merry.Prepend(err, "control-address")
 	}
 	opened = append(opened, control)
-	n.udpConn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.settings.ControlAddress))
+	n.udpConn, err = n.network.ListenPacket(n.settings.ControlAddress)
 	if err != nil {
 		closeOpened()
 		return merry.Prepend(err, "control-address")
