Tell how each value of the register came in force

The line of a value in force and a counter name the way: a push, a fetch, the leader's reply, or a round. With them the hypotheses can be told apart: a node that is late by a push that hangs has no line until a fetch; one that went back has a line of a start first. No logic is changed.

--- a/internal/relayer/document.go
+++ b/internal/relayer/document.go
@@ -36,8 +36,6 @@
 	}
 	if value != nil {
 		n.gossiper.SetVersion(value.Revision)
-		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
-			"replicas", len(value.Replicas))
 	}
 	return true
 }
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -98,7 +98,7 @@
 		return changeReply{}, false
 	}
 	if reply.Document != nil {
-		if err := r.node.activatePacked(reply.Document); err != nil {
+		if err := r.node.activatePacked(reply.Document, sourceLeader); err != nil {
 			r.node.log.Error("The document from the leader could not be activated.", "error", err)
 		}
 	}
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -195,10 +195,24 @@
 		return reply, err
 	})
 	addHandler(m, methodPush, func(_ context.Context, p packedDocument) (emptyMessage, error) {
-		return emptyMessage{}, r.node.activatePacked(&p)
+		return emptyMessage{}, r.node.activatePacked(&p, sourcePush)
 	})
 }
 
+// valueSource is the way in which a value of the register reaches a node.
+type valueSource string
+
+const (
+	// sourceFetch is a request to a member that has told of a newer revision.
+	sourceFetch valueSource = "fetch"
+	// sourceLeader is the leader's reply to a change that was passed on to it.
+	sourceLeader valueSource = "leader"
+	// sourcePush is a message of the node that has got the value chosen.
+	sourcePush valueSource = "push"
+	// sourceRound is a round or a read of this node.
+	sourceRound valueSource = "round"
+)
+
 // packedDocument is a document as nodes exchange it: without its history and with the text compressed.
 type packedDocument struct {
 	Deployment string               `json:"deployment"`
@@ -213,7 +227,7 @@
 }
 
 // activatePacked puts a document from another node in force, unless the current one is as new or newer.
-func (n *Node) activatePacked(p *packedDocument) error {
+func (n *Node) activatePacked(p *packedDocument, source valueSource) error {
 	if p.Revision <= n.revision() {
 		return nil
 	}
@@ -223,7 +237,7 @@
 	}
 	return n.activateValue(&replicator.Value{
 		Deployment: p.Deployment, Replicas: p.Replicas, Revision: p.Revision, Text: text, Version: p.Version,
-	})
+	}, source)
 }
 
 const (
@@ -321,7 +335,7 @@
 // one.
 func (r *register) publish(value *replicator.Value) error {
 	isNewer := value.Revision > r.node.revision()
-	if err := r.node.activateValue(value); err != nil {
+	if err := r.node.activateValue(value, sourceRound); err != nil {
 		return err
 	}
 	if isNewer {
@@ -351,7 +365,7 @@
 
 // activateValue puts a value of the register in force, unless the current one is as new or newer. It returns an error
 // for a value of another deployment or with a document that is not valid.
-func (n *Node) activateValue(value *replicator.Value) error {
+func (n *Node) activateValue(value *replicator.Value, source valueSource) error {
 	if local := n.register.Local(); local != nil && local.Deployment != value.Deployment {
 		n.meter.Event("foreign_documents")
 		return fmt.Errorf("document of another deployment: %s, not %s", value.Deployment, local.Deployment)
@@ -361,6 +375,9 @@
 		return err
 	}
 	if n.activate(document, value) {
+		n.meter.Event("values_by_" + string(source))
+		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
+			"replicas", len(value.Replicas), "source", source)
 		n.register.proposer.SetConfirmedReplicas(value.Replicas)
 	}
 	return nil
@@ -437,7 +454,7 @@
 	if err := n.messenger.Call(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document); err != nil {
 		return err
 	}
-	return n.activatePacked(&document)
+	return n.activatePacked(&document, sourceFetch)
 }
 
 // learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done: the
