--- a/internal/replicator/acceptor.go
+++ b/internal/replicator/acceptor.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -177,10 +178,9 @@
 	if request.Ballot.Less(a.promise) {
 		return PrepareReply{Promised: a.promise}, nil
 	}
-	if err := a.persist(recordPromise, request.Ballot); err != nil {
+	if err := a.promiseBallot(request.Ballot); err != nil {
 		return PrepareReply{}, err
 	}
-	a.promise = request.Ballot
 	reply := PrepareReply{Accepted: a.accepted.Ballot, OK: true, Promised: a.promise}
 	if a.accepted.Ballot != request.Known {
 		reply.Value = a.accepted.Value
@@ -201,20 +201,32 @@
 	if old := a.accepted.Value; old != nil {
 		asserter.That(request.Value.Deployment == old.Deployment, "register-deployment", "%s after %s", request.Value.Deployment, old.Deployment)
 	}
+	if err := a.promiseBallot(request.Ballot); err != nil {
+		return AcceptReply{}, err
+	}
 	next := acceptedValue{Ballot: request.Ballot, Value: request.Value}
-	if a.promise != request.Ballot {
-		if err := a.persist(recordPromise, request.Ballot); err != nil {
+	if !reflect.DeepEqual(a.accepted, next) {
+		if err := a.persist(recordAccepted, next); err != nil {
 			return AcceptReply{}, err
 		}
-		a.promise = request.Ballot
-	}
-	if err := a.persist(recordAccepted, next); err != nil {
-		return AcceptReply{}, err
+		a.accepted = next
 	}
-	a.accepted = next
 	return AcceptReply{OK: true, Promised: a.promise}, nil
 }
 
+// promiseBallot stores the promise of a ballot that is not below the one promised before. Requests that are sent again write
+// nothing.
+func (a *Acceptor) promiseBallot(ballot Ballot) error {
+	if a.promise == ballot {
+		return nil
+	}
+	if err := a.persist(recordPromise, ballot); err != nil {
+		return err
+	}
+	a.promise = ballot
+	return nil
+}
+
 // Query returns the value that the replica has accepted, without a promise. The errors are those of
 // Prepare.
 func (a *Acceptor) Query(request QueryRequest) (QueryReply, error) {
--- a/internal/replicator/fault_test.go
+++ b/internal/replicator/fault_test.go
@@ -31,6 +31,35 @@
 	}
 }
 
+// TestRepeatedRequestsWriteNothing guards against a slow disk that is slowed further by requests which are sent again.
+func TestRepeatedRequestsWriteNothing(t *testing.T) {
+	c := newCluster(t, "a")
+	replicas := c.bootstrap("a")
+	ballot := Ballot{Number: 100, Proposer: "p"}
+	value := (&Value{Deployment: c.acceptors["a"].Accepted().Deployment, Replicas: replicas}).withChange(change("c1", 1, replicas))
+	writes := 0
+	send := func() {
+		t.Helper()
+		prepared, err := c.acceptors["a"].Prepare(PrepareRequest{Ballot: ballot, DiskID: replicas[0].DiskID})
+		if err != nil || !prepared.OK {
+			t.Fatalf("the ballot is not promised: %+v, %v", prepared, err)
+		}
+		accepted, err := c.acceptors["a"].Accept(AcceptRequest{Ballot: ballot, DiskID: replicas[0].DiskID, Value: value})
+		if err != nil || !accepted.OK {
+			t.Fatalf("the value is not accepted: %+v, %v", accepted, err)
+		}
+	}
+	send()
+	c.setWriteHook(func(string, persister.Step, string) error {
+		writes++
+		return nil
+	})
+	send()
+	if writes > 0 {
+		t.Errorf("requests that were sent again took %d steps of writing", writes)
+	}
+}
+
 // heldAccepts is a transport that holds back accept requests until release is closed, like a process that is
 // frozen between the phases of a round.
 type heldAccepts struct {
