Send messages of the register again over a new connection when a kept one is silent

Cause: a push, a fetch and the messages of a round waited on a kept connection for up to messenger's callTimeout of 2 s, as long as the promise itself. A connection that turns silent without a reset, while new ones work, shows only by that timeout; the push was then sent again after 2.15 s. Class: a timeout as long as the promise that rests on it.

Messages that may run more than once at the peer are sent again over a new connection after 0.3 s, and once more 0.6 s later; the first response counts. The silent connection is retired: no new call uses it, and the calls that are under way keep it until they are over, so that a peer that is merely slow loses no reply. A kept connection that turns out to be closed is replaced at once.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -238,40 +238,39 @@
 func (m *Messenger) Call(ctx context.Context, to netip.AddrPort, purpose Purpose, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, err := m.connect(ctx, endpoint{to, purpose})
+	peer := endpoint{to, purpose}
+	out, err := m.outgoingTo(peer)
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, params, result)
-	var rpcErr *jsonrpc2.Error
-	if err == nil || errors.As(err, &rpcErr) {
-		return err
-	}
-	// A missing response can mean that the connection is dead. The next call opens a new one.
-	m.closeOutgoing(endpoint{to, purpose}, conn)
-	return fmt.Errorf("%w: %s: %s: %w", ErrUnreachable, to, method, err)
+	return m.callOver(ctx, peer, out, method, params, result)
 }
 
 // Notify sends a message to which the peer does not respond. The error wraps ErrUnreachable if it could not be sent.
 func (m *Messenger) Notify(ctx context.Context, to netip.AddrPort, purpose Purpose, method string, params any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, err := m.connect(ctx, endpoint{to, purpose})
+	peer := endpoint{to, purpose}
+	out, err := m.outgoingTo(peer)
+	if err != nil {
+		return err
+	}
+	conn, err := out.await(ctx, peer)
 	if err != nil {
 		return err
 	}
 	if err := conn.Notify(ctx, method, params); err != nil {
-		m.closeOutgoing(endpoint{to, purpose}, conn)
+		m.closeOutgoing(peer, conn)
 		return fmt.Errorf("%w: %s: %s: %w", ErrUnreachable, to, method, err)
 	}
 	return nil
 }
 
-// connect returns the connection to an endpoint and dials it if there is none. Concurrent callers share one dial.
-func (m *Messenger) connect(ctx context.Context, to endpoint) (*jsonrpc2.Conn, error) {
+// outgoingTo returns the connection to an endpoint and dials it if there is none. Concurrent callers share one dial.
+func (m *Messenger) outgoingTo(to endpoint) (*outgoingConn, error) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.closed {
-		m.mu.Unlock()
 		return nil, ErrClosed
 	}
 	out, ok := m.outgoing[to]
@@ -280,16 +279,20 @@
 		m.outgoing[to] = out
 		go m.open(to, out)
 	}
-	m.mu.Unlock()
+	return out, nil
+}
+
+// await waits until the connection is open. The error wraps ErrUnreachable.
+func (o *outgoingConn) await(ctx context.Context, to endpoint) (*jsonrpc2.Conn, error) {
 	select {
-	case <-out.ready:
+	case <-o.ready:
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, to.address, ctx.Err())
 	}
-	if out.err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, out.err)
+	if o.err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, o.err)
 	}
-	return out.conn, nil
+	return o.conn, nil
 }
 
 // open dials and authenticates the connection out, which is removed when it fails or disconnects.
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -150,7 +150,7 @@
 	if !ok {
 		return fmt.Errorf("%w: %s is no member", messenger.ErrUnreachable, vm)
 	}
-	return r.node.messenger.Call(ctx, m.Control, messenger.PurposeConfiguration, method, params, result)
+	return r.node.messenger.CallIdempotent(ctx, m.Control, messenger.PurposeConfiguration, method, params, result)
 }
 
 func (r *register) addHandlers(m *messenger.Messenger) {
@@ -255,7 +255,7 @@
 		}
 		go func() {
 			for range pushAttempts {
-				err := n.messenger.Call(context.Background(), m.Control, messenger.PurposeConfiguration, methodPush, document, nil)
+				err := n.messenger.CallIdempotent(context.Background(), m.Control, messenger.PurposeConfiguration, methodPush, document, nil)
 				if err == nil {
 					return
 				}
@@ -451,7 +451,7 @@
 
 func (n *Node) pullDocument(ctx context.Context, from gossiper.Member) error {
 	var document packedDocument
-	if err := n.messenger.Call(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document); err != nil {
+	if err := n.messenger.CallIdempotent(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document); err != nil {
 		return err
 	}
 	return n.activatePacked(&document, sourceFetch)
