Let replicas ask in turn, and soon, whether what they have accepted was chosen

Callers saw that a change which was acknowledged was not in force within 2 s (CONFIG): the nodes that made and acknowledged it were gone or cut off before they had told anybody.

Cause: a replica that had accepted the value looked for it once a second, and unless it led only in one of four seconds, since it looked by a round, which preempts others. The leader may be the node that is gone, and counts as live for 1.2 s. Class: a bound on time that is kept on average, and while a certain process lives.

A replica now asks the others without a round (a query disturbs none), 0.2 s after it has accepted the value and 0.15 s later for each running replica before it; a round follows after 1 s, as seldom as before. A query waits for 0.4 s, so that a request which was lost on a silent connection is repeated within it. A replica looks for room on a failed disk in a task of its own.

TestReplicaRunsRound moved with its code; the network in memory reads at once, since a write that waits under a mutex stops virtual time.

--- a/internal/maintainer/fleet_test.go
+++ b/internal/maintainer/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/diskfaker"
+	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/maintainer"
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
@@ -24,7 +25,6 @@
 // Times of the simulated nodes. Those of the tasks are the ones of a node.
 const (
 	joinInterval     = 400 * time.Millisecond
-	learnInterval    = time.Second
 	learnTimeout     = 3 * time.Second
 	maintainInterval = 200 * time.Millisecond
 	maintainTimeout  = 3 * time.Second
@@ -84,6 +84,7 @@
 type process struct {
 	acceptor *replicator.Acceptor
 	fleet    *fleet
+	learner  *distributor.Learner
 	proposer *replicator.Proposer
 	stop     context.CancelFunc
 	vm       *vm
@@ -166,6 +167,7 @@
 	p := &process{acceptor: acceptor, fleet: f, stop: stop, vm: v}
 	p.gossiper = f.newGossiper(p, uint64(incarnation))
 	p.proposer = replicator.NewProposer(timekeeper.System{}, fmt.Sprintf("%s.%d", name, incarnation), p)
+	p.learner = distributor.NewLearner(timekeeper.System{}, p)
 	f.mu.Lock()
 	v.diskID, v.process = acceptor.DiskID(), p
 	f.mu.Unlock()
@@ -173,7 +175,7 @@
 		interval time.Duration
 		run      func(context.Context)
 	}{
-		{learnInterval, p.learn},
+		{distributor.LearnInterval, p.learn},
 		{maintainInterval, p.maintain},
 		{pullInterval, p.pull},
 		{joinInterval, p.join},
@@ -391,21 +393,54 @@
 	return version, err
 }
 
-// learn runs a round if the accepted value is not in force or its change of replicas is not complete.
+// learn checks whether the accepted value was chosen, as a node does.
 func (p *process) learn(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	accepted, current := p.acceptor.Accepted(), p.current()
-	switch {
-	case accepted == nil || p.fleet.intn(2) == 0:
-	case len(accepted.Previous) > 0:
-		p.assumeAccepted()
-		if value, err := p.proposer.Repair(ctx); err == nil {
-			p.publish(value)
-		}
-	case current == nil || accepted.Revision > current.Revision:
-		_, _ = p.read(ctx)
+	p.learner.Check(ctx)
+}
+
+// Accepted implements distributor.ReplicaNode.
+func (p *process) Accepted() *replicator.Value {
+	return p.acceptor.Accepted()
+}
+
+// InForce implements distributor.ReplicaNode.
+func (p *process) InForce() uint64 {
+	if current := p.current(); current != nil {
+		return current.Revision
+	}
+	return 0
+}
+
+// QueryMajority implements distributor.ReplicaNode.
+func (p *process) QueryMajority(ctx context.Context) error {
+	value, err := p.proposer.Query(ctx)
+	if err == nil {
+		p.publish(value)
+	}
+	return err
+}
+
+// RunRound implements distributor.ReplicaNode.
+func (p *process) RunRound(ctx context.Context, accepted *replicator.Value) error {
+	if len(accepted.Previous) == 0 {
+		_, err := p.read(ctx)
+		return err
+	}
+	p.assumeAccepted()
+	value, err := p.proposer.Repair(ctx)
+	if err == nil {
+		p.publish(value)
+	}
+	return err
+}
+
+// Turn implements distributor.ReplicaNode.
+func (p *process) Turn() int {
+	current := p.current()
+	if current == nil {
+		return 0
 	}
+	return max(0, maintainer.Turn(p.view(current.Replicas)))
 }
 
 // maintain watches the replicas and changes the set of them if a change is due.
--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -185,6 +185,16 @@
 // run take turns in the order of their names: the first acts at once, each further one turnInterval later if the
 // change is still due. One that is leaving acts at once.
 func ShouldAct(view View, waited time.Duration) bool {
+	turn := Turn(view)
+	if candidate, ok := view.candidate(view.Self); ok && candidate.Leaving {
+		return turn >= 0
+	}
+	return turn >= 0 && waited >= time.Duration(turn)*turnInterval
+}
+
+// Turn returns the number of running replicas that come before the node itself in the order of their names, or -1 if the node
+// has no replica.
+func Turn(view View) int {
 	var running []string
 	for _, replica := range view.Replicas {
 		if _, known := view.candidate(replica.VM); known && !view.isGone(replica.VM) {
@@ -192,11 +202,7 @@
 		}
 	}
 	slices.Sort(running)
-	position := slices.Index(running, view.Self)
-	if candidate, ok := view.candidate(view.Self); ok && candidate.Leaving {
-		return position >= 0
-	}
-	return position >= 0 && waited >= time.Duration(position)*turnInterval
+	return slices.Index(running, view.Self)
 }
 
 // turnInterval is how long each replica leaves the change to the one before it.
--- a/internal/relayer/maintain_test.go
+++ b/internal/relayer/maintain_test.go
@@ -30,24 +30,3 @@
 		}
 	}
 }
-
-// TestReplicaRunsRound guards against a change of the replicas that stays incomplete once its value is in force
-// everywhere: it then still needs disks that may be gone for good.
-func TestReplicaRunsRound(t *testing.T) {
-	old := []replicator.Replica{{VM: "a", DiskID: "1"}}
-	for name, one := range map[string]struct {
-		accepted replicator.Value
-		inForce  uint64
-		want     bool
-	}{
-		"in force":                             {replicator.Value{Revision: 4}, 4, false},
-		"a newer one is in force":              {replicator.Value{Revision: 4}, 5, false},
-		"not in force":                         {replicator.Value{Revision: 5}, 4, true},
-		"change of replicas is not complete":   {replicator.Value{Revision: 4, Previous: old}, 4, true},
-		"missed the end of a replicas' change": {replicator.Value{Revision: 4, Previous: old}, 5, true},
-	} {
-		if got := needsRound(&one.accepted, one.inForce); got != one.want {
-			t.Errorf("%s: got %t, want %t", name, got, one.want)
-		}
-	}
-}
--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -15,8 +15,12 @@
 // memoryLatency is the one-way latency of a memoryNetwork.
 const memoryLatency = time.Millisecond
 
-// datagramQueue is the number of datagrams that wait to be read by a memoryPacketConn; further ones are lost.
-const datagramQueue = 4096
+const (
+	// datagramQueue is the number of datagrams that wait to be read by a memoryPacketConn; further ones are lost.
+	datagramQueue = 4096
+	// segmentQueue is the number of segments of a connection that are on their way; further ones block the writer.
+	segmentQueue = 1024
+)
 
 var errNoListener = errors.New("connection refused")
 
@@ -141,23 +145,39 @@
 	return client, nil
 }
 
-// forward copies bytes from one end to the other, and the end of the connection, unless the connection is silent.
+// segment is a piece of a connection's bytes on its way.
+type segment struct {
+	arrives time.Time
+	data    []byte
+}
+
+// forward copies bytes from one end to the other, and the end of the connection, unless the connection is silent. It reads
+// at once: a write that waits would hold a mutex of its writer, and virtual time stands still while others wait for one.
 func (m *memoryNetwork) forward(conn *memoryConn, from, to net.Conn) {
+	segments := make(chan segment, segmentQueue)
+	go m.deliver(conn, segments, to)
+	defer close(segments)
+	defer func() { _ = from.Close() }()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
-			break
-		}
-		time.Sleep(memoryLatency)
-		if m.isSilent(conn) {
-			continue
+			return
 		}
-		if _, err := to.Write(buffer[:n]); err != nil {
-			break
+		segments <- segment{time.Now().Add(memoryLatency), append([]byte(nil), buffer[:n]...)}
+	}
+}
+
+// deliver writes the segments to the end of a connection when they arrive, and closes it after the last one.
+func (m *memoryNetwork) deliver(conn *memoryConn, segments <-chan segment, to net.Conn) {
+	isBroken := false
+	for s := range segments {
+		time.Sleep(time.Until(s.arrives))
+		if !isBroken && !m.isSilent(conn) {
+			_, err := to.Write(s.data)
+			isBroken = err != nil
 		}
 	}
-	_ = from.Close()
 	if !m.isSilent(conn) {
 		_ = to.Close()
 	}
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/asserter"
+	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
 	"github.com/marigoldrelay/marigoldrelay/internal/persister"
@@ -32,13 +33,8 @@
 	methodQuery    = "query"
 )
 
-const (
-	learnInterval = time.Second
-	learnTimeout  = 3 * time.Second
-	// nonLeaderLearnDivisor makes a replica that is not the leader run a round in one of nonLeaderLearnDivisor intervals,
-	// on average.
-	nonLeaderLearnDivisor = 4
-)
+// recoverInterval is the time between two attempts of a replica to use a disk that has failed.
+const recoverInterval = time.Second
 
 // JSON-RPC error codes between nodes. codeGeneral is that of every error without a code of its own.
 const (
@@ -457,50 +453,20 @@
 	return n.activatePacked(&document, sourceFetch)
 }
 
-// learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done: the
-// proposer may have died before it could push the value, or before a change of the replicas was complete.
+// learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done.
 func (n *Node) learnChosen(ctx context.Context) {
-	acceptor := n.register.acceptor
-	if acceptor == nil {
+	if n.register.acceptor == nil {
 		return
 	}
-	runEvery(ctx, learnInterval, func() {
-		if acceptor.Recover() != nil {
-			// Whoever sends a request gets the error, and the observer has logged it.
-			return
-		}
-		accepted := acceptor.Accepted()
-		if accepted == nil || !needsRound(accepted, n.revision()) {
-			return
-		}
-		if leader, ok := n.register.leader(); ok && leader.Name != n.settings.Name && rand.N(nonLeaderLearnDivisor) != 0 {
-			// Concurrent rounds of several replicas would preempt each other's ballots.
-			return
-		}
-		roundCtx, cancel := context.WithTimeout(ctx, learnTimeout)
-		defer cancel()
-		// A failed round is retried at a later interval.
-		_ = n.register.learn(roundCtx, accepted)
-	})
+	learner := distributor.NewLearner(n.clock, replicaNode{n.register})
+	runEvery(ctx, distributor.LearnInterval, func() { learner.Check(ctx) })
 }
 
-// needsRound reports whether a replica that has accepted the value has to run a round: the value is newer than the
-// revision in force, or it needs a majority of its previous replicas as well, whose disks may be lost for good.
-func needsRound(accepted *replicator.Value, revision uint64) bool {
-	return accepted.Revision > revision || len(accepted.Previous) > 0
-}
-
-// learn puts the newest chosen value in force. If the accepted one has a previous set of replicas, it runs a round even
-// if the others need none, because that brings this replica up to date.
-func (r *register) learn(ctx context.Context, accepted *replicator.Value) error {
-	if len(accepted.Previous) == 0 {
-		_, err := r.Read(ctx)
-		return err
-	}
-	r.assumeAcceptedReplicas()
-	value, err := r.proposer.Repair(ctx)
-	if err != nil {
-		return err
+// recoverDisk makes a replica whose disk has failed take up again when the disk has room, until ctx is done.
+func (n *Node) recoverDisk(ctx context.Context) {
+	if n.register.acceptor == nil {
+		return
 	}
-	return r.publish(value)
+	// Whoever sends a request to the replica gets the error, and the observer has logged it.
+	runEvery(ctx, recoverInterval, func() { _ = n.register.acceptor.Recover() })
 }
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -31,6 +31,8 @@
 	spreadReplicas = 5
 	// spreadFormTime is how long the nodes have to find each other and to form the register.
 	spreadFormTime = 12 * time.Second
+	// settleTime is how long a node has to be undisturbed to count as in touch.
+	settleTime = 3 * time.Second
 	// checkInterval is the time between two looks at the nodes.
 	checkInterval = 20 * time.Millisecond
 	// changeLimit is how long an operator waits for the answer to a change.
@@ -71,8 +73,9 @@
 	actionChange spreadAction = "change"
 	// actionSilence makes the kept connections between the nodes and all others silent, or all connections.
 	actionSilence spreadAction = "silence"
-	// actionCut cuts the nodes off from all others.
-	actionCut spreadAction = "cut"
+	// actionCut cuts the nodes off from all others, and actionHeal ends that. They count as in touch again a settle time after.
+	actionCut  spreadAction = "cut"
+	actionHeal spreadAction = "heal"
 	// actionChangeAndCutPower sends a change to the first of the nodes; all of them lose power as it is acknowledged.
 	actionChangeAndCutPower spreadAction = "change-and-cut-power"
 	// actionChangeAndCut is the same with a cut of the nodes from all others.
@@ -224,6 +227,8 @@
 		}
 	case actionCut:
 		f.cut(step.Nodes)
+	case actionHeal:
+		f.heal(step.Nodes)
 	case actionChangeAndCut:
 		f.sendChange(step.Nodes[0])
 		f.cut(step.Nodes)
@@ -331,6 +336,16 @@
 	f.network.cut(some, others, true)
 }
 
+// heal ends a cut of the nodes, and waits until they count as in touch.
+func (f *spreadFleet) heal(numbers []int) {
+	some, others := f.group(numbers)
+	f.network.cut(some, others, false)
+	time.Sleep(settleTime)
+	for _, number := range numbers {
+		delete(f.outOfTouch, number)
+	}
+}
+
 // group returns the VMs of the nodes, and all others. Without nodes, it returns all VMs twice.
 func (f *spreadFleet) group(numbers []int) (some, others map[netip.Addr]bool) {
 	some, others = make(map[netip.Addr]bool), make(map[netip.Addr]bool)
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -62,6 +62,7 @@
 	n.startTask(func() { n.pullFirstDocument(ctx) })
 	n.startTask(func() { n.replayCrashes(ctx) })
 	n.startTask(func() { n.learnChosen(ctx) })
+	n.startTask(func() { n.recoverDisk(ctx) })
 	n.log.Info("Started.", "callers", n.settings.CallerAddress, "admin", n.settings.AdminAddress)
 	return nil
 }
--- a/internal/replicator/query.go
+++ b/internal/replicator/query.go
@@ -3,10 +3,25 @@
 import (
 	"context"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
-// queryTimeout is how long a read without a round waits for replies from an agreeing majority.
-const queryTimeout = 250 * time.Millisecond
+// queryTimeout is how long a read without a round waits for replies from an agreeing majority. A request that was lost on
+// a silent connection has been sent again by then.
+const queryTimeout = 400 * time.Millisecond
+
+// ErrNoAgreement is returned by Query if no majority of the replicas agrees.
+var ErrNoAgreement = merry.Sentinel("no majority of the control replicas agrees on a value")
+
+// Query returns the value that a majority of the replicas has accepted, without a round. It disturbs no round that others
+// run.
+func (p *Proposer) Query(ctx context.Context) (*Value, error) {
+	if value := p.queryMajority(ctx); value != nil {
+		return value, nil
+	}
+	return nil, ErrNoAgreement
+}
 
 // queryMajority returns the value that a majority of the replicas has accepted under the same ballot. That
 // value is chosen, and no newer one was chosen when the query began. It returns nil if no such majority
