End a message that finds no room on its connection

On a connection to a peer that is cut off or stands still, a message that fills the socket's buffer was never given up: the write has no deadline, and holds a lock of the JSON-RPC library for which all later calls to that peer wait, beyond their own timeouts. Nothing of the configuration reached the peer on it until the kernel gave the connection up, minutes later, also after the network was well again.

Each 16 KiB of a message get a second to find room; then the connection is closed and the next call opens a new one.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,9 @@
 	dialTimeout = time.Second
 	// callTimeout limits a call or notification, including the time for connecting.
 	callTimeout = 2 * time.Second
+	// writeTimeout limits the time for which each writeChunkBytes of a message wait for room on the connection.
+	writeTimeout    = time.Second
+	writeChunkBytes = 16 << 10
 )
 
 // Handler handles the calls of one method. The result is encoded as JSON. An error of type *jsonrpc2.Error is sent to
@@ -400,16 +404,27 @@
 // segmentHeaderBytes is the size of the IP and TCP headers of the segment that carries a message.
 const segmentHeaderBytes = 40
 
-// countingConn counts the bytes that are written to a connection.
+// countingConn counts the bytes that are written to a connection, and limits the time that a write takes.
 type countingConn struct {
 	net.Conn
 	counter ByteCounter
 	purpose string
 }
 
-// Write implements net.Conn. It counts the sent bytes and the headers of one segment.
+// Write implements net.Conn. It counts the sent bytes and the headers of one segment. A connection with a message that is cut
+// short can't be used any more, so it is closed.
 func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counter.AddControlBytes(c.purpose, n+segmentHeaderBytes)
-	return n, err
+	written := 0
+	for rest := range slices.Chunk(p, writeChunkBytes) {
+		// If the deadline can't be set, the connection is closed and the write fails.
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.Conn.Write(rest)
+		written += n
+		if err != nil {
+			_ = c.Close()
+			return written, err
+		}
+	}
+	c.counter.AddControlBytes(c.purpose, written+segmentHeaderBytes)
+	return written, nil
 }
