Count a version as sent when it was sent

The number of packets that still carry a new version of the document was counted down each tick, also while the budget for updates allowed no packet: a node with many changed records, as when many start, told nobody of a new version but in its probes. Class: a budget that counts what it did not send.

What was not sent stays pending, and while the budget does not allow the records, the version goes alone in a small packet.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -23,6 +23,8 @@
 	ackTimeout = 400 * time.Millisecond
 	// bytesPerRecord is the size that the budget is charged for each member record in an update packet.
 	bytesPerRecord = 150
+	// bytesPerVersion is the size that the budget must allow for a packet without records.
+	bytesPerVersion = 150
 	// deadRetention is how long the record of a dead or left member is kept.
 	deadRetention = 3 * time.Hour
 	// fanout is the number of random members that each tick sends updates to.
--- a/internal/gossiper/spread.go
+++ b/internal/gossiper/spread.go
@@ -100,19 +100,30 @@
 	g.changed = append(g.changed, self)
 }
 
-// spread sends pending updates and the document version to fanout random members. It stops when the budget
-// is used up.
+// spread sends pending updates and the document version to fanout random members. If the budget does not allow the updates, it
+// sends the version alone, which is small. It stops when the budget is used up; what was not sent stays pending.
 func (g *Gossiper) spread() {
 	if len(g.updates) == 0 && g.versionSendsLeft == 0 {
 		return
 	}
-	g.versionSendsLeft = max(0, g.versionSendsLeft-1)
+	isSent, isOverBudget := false, false
 	for _, m := range g.pickPeers(fanout, "") {
-		if !g.budget.Allows(bytesPerRecord * min(maxPiggyback, len(g.updates))) {
-			g.counters.OverBudget++
-			return
+		switch {
+		case g.budget.Allows(bytesPerRecord * min(maxPiggyback, len(g.updates))):
+			g.enqueue(m.Control, &Packet{Kind: KindUpdate})
+			isSent = true
+		case g.versionSendsLeft > 0 && g.budget.Allows(bytesPerVersion):
+			g.enqueueAsIs(m.Control, &Packet{Kind: KindUpdate}, false)
+			isSent, isOverBudget = true, true
+		default:
+			isOverBudget = true
 		}
-		g.enqueue(m.Control, &Packet{Kind: KindUpdate})
+	}
+	if isOverBudget {
+		g.counters.OverBudget++
+	}
+	if isSent {
+		g.versionSendsLeft = max(0, g.versionSendsLeft-1)
 	}
 }
 
