Push a value until it has arrived, in a package of its own

A value that was chosen was pushed to each member four times, each for up to 2 s, and then never again; in a storm of changes each version had goroutines of its own for each member. A member that was cut off for longer depended on gossip alone. What this node had got chosen was not pushed by it at all if the value had come in force by another way meanwhile. Class: a push that is not repeated.

distributor.Pusher keeps one goroutine for each member that lacks the newest value, and sends the newest until it has arrived or the member is gone. A change that this node has made is pushed whatever is in force here. Fetching moves into the package too, as it was: one request at a time. A document is parsed once when it comes in several ways at the same moment.

TestPushIsRepeatedUntilItArrives and TestPushEndsWithMember are of the new package; there was nothing to run them on before.

--- /dev/null
+++ b/internal/distributor/pusher_test.go
@@ -0,0 +1,150 @@
+package distributor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+)
+
+// scriptedMembers are members to push to.
+type scriptedMembers struct {
+	mu   sync.Mutex
+	live []string
+	// cutOff holds the names of those that don't answer.
+	cutOff map[string]bool
+	// arrived holds the revisions that have arrived at each, and sent the number of attempts.
+	arrived map[string][]uint64
+	sent    map[string]int
+}
+
+func newScriptedMembers(count int) *scriptedMembers {
+	s := &scriptedMembers{cutOff: make(map[string]bool), arrived: make(map[string][]uint64), sent: make(map[string]int)}
+	for i := range count {
+		s.live = append(s.live, fmt.Sprint("m", i))
+	}
+	return s
+}
+
+// LiveMembers implements PushNode.
+func (s *scriptedMembers) LiveMembers() []gossiper.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var members []gossiper.Member
+	for _, name := range s.live {
+		members = append(members, gossiper.Member{Name: name})
+	}
+	return members
+}
+
+// LiveMember implements PushNode.
+func (s *scriptedMembers) LiveMember(name string) (gossiper.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return gossiper.Member{Name: name}, slices.Contains(s.live, name)
+}
+
+// Push implements PushNode.
+func (s *scriptedMembers) Push(_ context.Context, to gossiper.Member, value Document) error {
+	s.mu.Lock()
+	s.sent[to.Name]++
+	isCutOff := s.cutOff[to.Name]
+	s.mu.Unlock()
+	if isCutOff {
+		time.Sleep(2 * time.Second)
+		return errUnreachable
+	}
+	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	s.arrived[to.Name] = append(s.arrived[to.Name], value.Revision)
+	s.mu.Unlock()
+	return nil
+}
+
+// PushFailed implements PushNode.
+func (s *scriptedMembers) PushFailed(gossiper.Member, error) {}
+
+// setCutOff cuts a member off, or ends that.
+func (s *scriptedMembers) setCutOff(name string, isCutOff bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff[name] = isCutOff
+}
+
+// newest returns the last revision that has arrived at a member, and how many have.
+func (s *scriptedMembers) newest(name string) (revision uint64, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revisions := s.arrived[name]
+	if len(revisions) == 0 {
+		return 0, 0
+	}
+	return revisions[len(revisions)-1], len(revisions)
+}
+
+// TestPushIsRepeatedUntilItArrives guards against a value that is pushed to a member a few times and then never again, while
+// the member was cut off for longer than that, and against the values of a storm that arrive one after the other instead of the
+// newest.
+func TestPushIsRepeatedUntilItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newScriptedMembers(3)
+		p := NewPusher(timekeeper.System{}, members)
+		defer p.Close()
+		members.setCutOff("m1", true)
+		for revision := uint64(1); revision <= 20; revision++ {
+			p.Push(&replicator.Value{Revision: revision})
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(15 * time.Second)
+		if revision, count := members.newest("m0"); revision != 20 || count != 20 {
+			t.Errorf("revision %d is the newest at a member in touch, after %d pushes", revision, count)
+		}
+		members.setCutOff("m1", false)
+		time.Sleep(2*time.Second + 2*pushRetryInterval)
+		if revision, count := members.newest("m1"); revision != 20 || count != 1 {
+			t.Errorf("revision %d is the newest at the member that was cut off, after %d pushes, want 20 after one", revision, count)
+		}
+	})
+}
+
+// TestPushEndsWithMember guards against goroutines that push to members which are gone, and against older values that are pushed
+// after newer ones.
+func TestPushEndsWithMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newScriptedMembers(2)
+		p := NewPusher(timekeeper.System{}, members)
+		members.setCutOff("m1", true)
+		p.Push(&replicator.Value{Revision: 5})
+		p.Push(&replicator.Value{Revision: 4})
+		p.Push(&replicator.Value{Revision: 5})
+		time.Sleep(5 * time.Second)
+		members.mu.Lock()
+		members.live = members.live[:1]
+		members.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		members.mu.Lock()
+		sent := members.sent["m1"]
+		members.mu.Unlock()
+		time.Sleep(time.Minute)
+		members.mu.Lock()
+		later := members.sent["m1"]
+		members.mu.Unlock()
+		p.mu.Lock()
+		active := len(p.active)
+		p.mu.Unlock()
+		if later != sent || active > 0 {
+			t.Errorf("%d pushes to a member that is gone, then %d; %d members are active", sent, later, active)
+		}
+		if revision, count := members.newest("m0"); revision != 5 || count != 1 {
+			t.Errorf("revision %d has arrived last of %d, want 5 alone", revision, count)
+		}
+		p.Close()
+	})
+}
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/maintainer"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
@@ -61,7 +62,7 @@
 	Conflict *replicator.ConflictError `json:"conflict,omitempty"`
 	// Document is the one in force after the change. The reply contains it because the leader may die before it has
 	// pushed it.
-	Document *packedDocument `json:"document,omitempty"`
+	Document *distributor.Document `json:"document,omitempty"`
 	// VersionTooLow is true if the requested version is not above the current one.
 	VersionTooLow bool   `json:"is-below,omitempty"`
 	Version       uint64 `json:"version,omitempty"`
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -70,8 +70,8 @@
 
 	administrator *administrator.Administrator
 	activateMu    sync.Mutex
-	// pullSources holds a member from which a newer document is to be fetched.
-	pullSources   chan gossiper.Member
+	// parseMu is held while a value of the register is parsed and put in force.
+	parseMu       sync.Mutex
 	bindingBudget *budgeter.Bytes
 	carrier       *carrier.Carrier
 	// differingPeers holds the control address of a member whose view of the members differs.
@@ -122,7 +122,6 @@
 	n := &Node{
 		settings:         settings,
 		secrets:          secrets,
-		pullSources:      make(chan gossiper.Member, 1),
 		clock:            timekeeper.System{},
 		differingPeers:   make(chan netip.AddrPort, 1),
 		baseLog:          baseLog,
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -51,6 +51,10 @@
 	acceptor *replicator.Acceptor
 	proposer *replicator.Proposer
 
+	// fetcher and pusher bring values to this node and to the others.
+	fetcher *distributor.Fetcher
+	pusher  *distributor.Pusher
+
 	// callCtx is done when the calls of operators that still run are to be answered at once.
 	callCtx        context.Context
 	interruptCalls context.CancelFunc
@@ -69,6 +73,8 @@
 	// The wall clock can step back over a restart, so the incarnation alone may not be unique.
 	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
 	r.proposer.SetRoundObserver(n.roundFinished)
+	r.fetcher = distributor.NewFetcher(r)
+	r.pusher = distributor.NewPusher(n.clock, r)
 	n.register = r
 	if n.settings.DataFolder == "" {
 		return nil
@@ -133,8 +139,9 @@
 	return r.acceptor.DiskID()
 }
 
-// close closes the data folder.
+// close ends all pushing and closes the data folder.
 func (r *register) close() {
+	r.pusher.Close()
 	if r.acceptor != nil {
 		// The records are already synced, so a failed close loses nothing.
 		_ = r.acceptor.Close()
@@ -174,23 +181,23 @@
 		reply, err := r.acceptor.Query(p)
 		return reply, rpcError(err)
 	})
-	addHandler(m, methodDocument, func(context.Context, emptyMessage) (packedDocument, error) {
+	addHandler(m, methodDocument, func(context.Context, emptyMessage) (distributor.Document, error) {
 		local := r.Local()
 		if local == nil {
-			return packedDocument{}, nil
+			return distributor.Document{}, nil
 		}
-		return packDocument(local), nil
+		return distributor.NewDocument(local), nil
 	})
 	addHandler(m, methodChange, func(ctx context.Context, p replicator.Change) (changeReply, error) {
 		version, err := r.applyChange(ctx, &p)
 		reply, err := newChangeReply(version, err)
 		if local := r.Local(); err == nil && local != nil {
-			document := packDocument(local)
+			document := distributor.NewDocument(local)
 			reply.Document = &document
 		}
 		return reply, err
 	})
-	addHandler(m, methodPush, func(_ context.Context, p packedDocument) (emptyMessage, error) {
+	addHandler(m, methodPush, func(_ context.Context, p distributor.Document) (emptyMessage, error) {
 		return emptyMessage{}, r.node.activatePacked(&p, sourcePush)
 	})
 }
@@ -209,57 +216,16 @@
 	sourceRound valueSource = "round"
 )
 
-// packedDocument is a document as nodes exchange it: without its history and with the text compressed.
-type packedDocument struct {
-	Deployment string               `json:"deployment"`
-	Packed     []byte               `json:"packed"`
-	Replicas   []replicator.Replica `json:"replicas"`
-	Revision   uint64               `json:"revision"`
-	Version    uint64               `json:"version"`
-}
-
-func packDocument(value *replicator.Value) packedDocument {
-	return packedDocument{value.Deployment, replicator.Pack(value.Text), value.Replicas, value.Revision, value.Version}
-}
-
 // activatePacked puts a document from another node in force, unless the current one is as new or newer.
-func (n *Node) activatePacked(p *packedDocument, source valueSource) error {
+func (n *Node) activatePacked(p *distributor.Document, source valueSource) error {
 	if p.Revision <= n.revision() {
 		return nil
 	}
-	text, err := replicator.Unpack(p.Packed)
+	value, err := p.Value()
 	if err != nil {
 		return err
 	}
-	return n.activateValue(&replicator.Value{
-		Deployment: p.Deployment, Replicas: p.Replicas, Revision: p.Revision, Text: text, Version: p.Version,
-	}, source)
-}
-
-const (
-	pushRetryInterval = 150 * time.Millisecond
-	pushAttempts      = 4
-)
-
-// push sends a value that was chosen to all live members concurrently and does not wait for them. A member that
-// can't be reached learns of the revision by gossip.
-func (n *Node) push(value *replicator.Value) {
-	document := packDocument(value)
-	for _, m := range n.gossiper.Members() {
-		if m.Name == n.settings.Name || m.Status >= gossiper.StatusDead {
-			continue
-		}
-		go func() {
-			for range pushAttempts {
-				err := n.messenger.CallIdempotent(context.Background(), m.Control, messenger.PurposeConfiguration, methodPush, document, nil)
-				if err == nil {
-					return
-				}
-				n.meter.Event("pushes_failed")
-				time.Sleep(pushRetryInterval)
-			}
-		}()
-	}
+	return n.activateValue(value, source)
 }
 
 // rpcError converts an error to one that is sent to the calling node with an error code.
@@ -304,7 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return value, r.publish(value)
+	return value, r.adopt(value)
 }
 
 // Change implements administrator.Register.
@@ -321,25 +287,33 @@
 func (r *register) applyChange(ctx context.Context, change *replicator.Change) (uint64, error) {
 	r.assumeAcceptedReplicas()
 	value, version, err := r.proposer.Apply(ctx, change)
-	if value != nil {
-		err = errors.Join(err, r.publish(value))
+	switch {
+	case value == nil:
+	case err != nil:
+		err = errors.Join(err, r.adopt(value))
+	default:
+		err = r.publish(value)
 	}
 	return version, err
 }
 
-// publish puts a chosen value in force on this node and pushes it to the others if it is newer than the previous
-// one.
+// publish puts a value that this node has got chosen in force, and pushes it to all others.
 func (r *register) publish(value *replicator.Value) error {
-	isNewer := value.Revision > r.node.revision()
 	if err := r.node.activateValue(value, sourceRound); err != nil {
 		return err
 	}
-	if isNewer {
-		r.node.push(value)
-	}
+	r.pusher.Push(value)
 	return nil
 }
 
+// adopt puts a value that this node has read in force, and pushes it to all others if it was not in force here.
+func (r *register) adopt(value *replicator.Value) error {
+	if value.Revision > r.node.revision() {
+		return r.publish(value)
+	}
+	return r.node.activateValue(value, sourceRound)
+}
+
 // Bootstrap implements administrator.Register.
 func (r *register) Bootstrap(ctx context.Context, change *replicator.Change) (*replicator.Value, error) {
 	ctx, cancel := r.interruptible(ctx)
@@ -362,10 +336,16 @@
 // activateValue puts a value of the register in force, unless the current one is as new or newer. It returns an error
 // for a value of another deployment or with a document that is not valid.
 func (n *Node) activateValue(value *replicator.Value, source valueSource) error {
+	// The same document can come in several ways at once, and takes long to parse on a slow VM.
+	n.parseMu.Lock()
+	defer n.parseMu.Unlock()
 	if local := n.register.Local(); local != nil && local.Deployment != value.Deployment {
 		n.meter.Event("foreign_documents")
 		return fmt.Errorf("document of another deployment: %s, not %s", value.Deployment, local.Deployment)
 	}
+	if value.Revision <= n.revision() {
+		return nil
+	}
 	document, err := n.documentOf(value)
 	if err != nil {
 		return err
@@ -396,16 +376,9 @@
 	return document, nil
 }
 
-// VersionSeen implements gossiper.Observer. It requests the document of a member with a newer revision, unless a
-// request is already pending.
+// VersionSeen implements gossiper.Observer. It makes the node fetch a newer document from the member.
 func (n *Node) VersionSeen(from gossiper.Member, revision uint64) {
-	if revision <= n.revision() {
-		return
-	}
-	select {
-	case n.pullSources <- from:
-	default:
-	}
+	n.register.fetcher.Offer(from, revision)
 }
 
 // revision returns the revision of the register's value that is in force, or zero.
@@ -416,20 +389,6 @@
 	return 0
 }
 
-// pullDocuments fetches newer documents from the members that have them, until ctx is done.
-func (n *Node) pullDocuments(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case from := <-n.pullSources:
-			if err := n.pullDocument(ctx, from); err != nil {
-				n.log.Warn("A document could not be fetched.", "from", from.Name, "error", err)
-			}
-		}
-	}
-}
-
 // firstDocumentInterval is the time between two requests for a document by a node that has none.
 const firstDocumentInterval = 200 * time.Millisecond
 
@@ -439,20 +398,12 @@
 	for ctx.Err() == nil && n.active.Load() == nil {
 		if peers := n.livePeers(); len(peers) > 0 {
 			// A failed request is repeated with another member.
-			_ = n.pullDocument(ctx, gossiper.Member{Control: peers[rand.N(len(peers))]})
+			_ = n.register.Fetch(ctx, gossiper.Member{Control: peers[rand.N(len(peers))]})
 		}
 		timekeeper.Sleep(ctx, n.clock, firstDocumentInterval)
 	}
 }
 
-func (n *Node) pullDocument(ctx context.Context, from gossiper.Member) error {
-	var document packedDocument
-	if err := n.messenger.CallIdempotent(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document); err != nil {
-		return err
-	}
-	return n.activatePacked(&document, sourceFetch)
-}
-
 // learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done.
 func (n *Node) learnChosen(ctx context.Context) {
 	if n.register.acceptor == nil {
--- a/internal/relayer/replicanode.go
+++ b/internal/relayer/replicanode.go
@@ -17,18 +17,13 @@
 	return r.acceptor.Accepted()
 }
 
-// InForce implements distributor.ReplicaNode.
-func (r replicaNode) InForce() uint64 {
-	return r.node.revision()
-}
-
 // QueryMajority implements distributor.ReplicaNode.
 func (r replicaNode) QueryMajority(ctx context.Context) error {
 	value, err := r.proposer.Query(ctx)
 	if err != nil {
 		return err
 	}
-	return r.publish(value)
+	return r.adopt(value)
 }
 
 // RunRound implements distributor.ReplicaNode. If the accepted value has a previous set of replicas, it runs a round even if
@@ -43,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	return r.publish(value)
+	return r.adopt(value)
 }
 
 // Turn implements distributor.ReplicaNode. A node without a value in force is the first.
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -58,7 +58,7 @@
 	n.startTask(func() { runEvery(ctx, arrivalLogInterval, n.newArrivalLogger()) })
 	n.startTask(func() { n.syncMembers(ctx) })
 	n.joinSeeds(ctx)
-	n.startTask(func() { n.pullDocuments(ctx) })
+	n.startTask(func() { n.register.fetcher.Run(ctx) })
 	n.startTask(func() { n.pullFirstDocument(ctx) })
 	n.startTask(func() { n.replayCrashes(ctx) })
 	n.startTask(func() { n.learnChosen(ctx) })
