Fetch a newer document from further members while one does not answer

A node fetched a newer document from one member at a time, for up to 2 s; what others offered meanwhile was dropped, and asked for again only with the next packet after that. A member that had told of the version and was then cut off kept the node on the older one for as long as config_apply_s. Class: a queue that drops.

The four latest members with a newer value are remembered, and another one is asked after 0.2 s, three at a time at most.

--- a/internal/distributor/fetcher.go
+++ b/internal/distributor/fetcher.go
@@ -11,11 +11,11 @@
 
 const (
 	// maxOffers is the number of members that are remembered as having a newer value.
-	maxOffers = 1
+	maxOffers = 4
 	// fetchTurn is how long a member has to answer before another one is asked as well.
-	fetchTurn = time.Hour
+	fetchTurn = 200 * time.Millisecond
 	// maxFetches is the number of members that are asked at the same time.
-	maxFetches = 1
+	maxFetches = 3
 )
 
 // FetchNode is the node of a Fetcher.
