--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,8 @@
 	spreadReplicas = 5
 	// spreadFormTime is how long the nodes have to find each other and to form the register.
 	spreadFormTime = 12 * time.Second
+	// recoveryBound is how long the nodes may take to recover from a loss of power of all.
+	recoveryBound = 15 * time.Second
 	// settleTime is how long a node has to be undisturbed to count as in touch.
 	settleTime = 3 * time.Second
 	// checkInterval is the time between two looks at the nodes.
@@ -49,8 +52,10 @@
 	// Routes is the number of routes that are added to the document.
 	Routes int `json:"routes"`
 	// LossPercent is the part of the datagrams that is lost.
-	LossPercent int          `json:"loss-percent"`
-	Steps       []spreadStep `json:"steps"`
+	LossPercent int `json:"loss-percent"`
+	// Late are the numbers of the nodes that are not started with the others.
+	Late  []int        `json:"late"`
+	Steps []spreadStep `json:"steps"`
 }
 
 // spreadStep is an event of a scenario.
@@ -83,6 +88,10 @@
 	// actionInterruptedChange sends a change to the first of the nodes, which all lose power after the gap, and sends it
 	// again to other nodes with a disk until it is acknowledged.
 	actionInterruptedChange spreadAction = "interrupted-change"
+	// actionStart starts nodes that were late.
+	actionStart spreadAction = "start"
+	// actionChangeAndLoseDisks sends a change to node 0; all nodes lose power as it is acknowledged, and the nodes their disks.
+	actionChangeAndLoseDisks spreadAction = "change-and-lose-disks"
 )
 
 // spreadFleet is a deployment in virtual time whose operator makes changes.
@@ -90,8 +99,10 @@
 	t        *testing.T
 	scenario *spreadScenario
 	network  *memoryNetwork
-	nodes    []*relayer.Node
-	vms      []netip.Addr
+	// nodes holds the node on each VM, or nil before its start.
+	nodes   []*relayer.Node
+	folders []string
+	vms     []netip.Addr
 	// outOfTouch holds the numbers of the nodes that were cut off or have lost power.
 	outOfTouch map[int]bool
 	text       string
@@ -143,13 +154,15 @@
 	for i := range scenario.Members {
 		f.vms = append(f.vms, netip.AddrFrom4([4]byte{127, 42, byte(i / 250), byte(1 + i%250)}))
 	}
+	f.nodes, f.folders = make([]*relayer.Node, scenario.Members), make([]string, scenario.Members)
 	for i := range f.vms {
-		f.start(i)
+		f.outOfTouch[i] = slices.Contains(scenario.Late, i)
+		if !f.outOfTouch[i] {
+			f.start(i, true)
+		}
 	}
 	defer func() {
-		for _, node := range f.nodes {
-			node.Abort()
-		}
+		f.abortAll()
 		// The calls that are under way end at their timeouts.
 		time.Sleep(time.Minute)
 	}()
@@ -186,8 +199,17 @@
 	return string(encoded)
 }
 
-// start starts the node with the number.
-func (f *spreadFleet) start(number int) {
+// abortAll ends all nodes at once.
+func (f *spreadFleet) abortAll() {
+	for _, node := range f.nodes {
+		if node != nil {
+			node.Abort()
+		}
+	}
+}
+
+// start starts the node with the number. Bootstrap is true at the first start of the deployment.
+func (f *spreadFleet) start(number int, bootstrap bool) {
 	f.t.Helper()
 	peerSigner, err := signer.New([]byte("a key for the tests only"))
 	if err != nil {
@@ -197,10 +219,13 @@
 		ControlAddress: netip.AddrPortFrom(f.vms[number], 7660), PeerAddress: netip.AddrPortFrom(f.vms[number], 7661),
 		DataCentre: fmt.Sprintf("dc-%d", number%3), Region: "here", LogLinesPerSecond: 1, Name: fmt.Sprintf("vm-%03d", number),
 		MaxBodyBytes: settingsreader.DefaultMaxBodyBytes, MaxHeaderBytes: settingsreader.DefaultMaxHeaderBytes,
-		Bootstrap: true, SelfForming: true, ToleratedLosses: spreadReplicas / 2, UpstreamLease: validator.Duration(time.Second),
+		Bootstrap: bootstrap, SelfForming: true, ToleratedLosses: spreadReplicas / 2, UpstreamLease: validator.Duration(time.Second),
 	}
 	if number < spreadReplicas {
-		settings.DataFolder = f.t.TempDir()
+		if f.folders[number] == "" {
+			f.folders[number] = f.t.TempDir()
+		}
+		settings.DataFolder = f.folders[number]
 	}
 	for _, vm := range f.vms[:3] {
 		settings.Seeds = append(settings.Seeds, netip.AddrPortFrom(vm, 7660))
@@ -213,7 +238,7 @@
 	if err := node.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	f.nodes = append(f.nodes, node)
+	f.nodes[number] = node
 }
 
 // take carries out a step.
@@ -239,6 +264,13 @@
 		f.checkSpread()
 	case actionInterruptedChange:
 		f.interruptChange(step)
+	case actionStart:
+		for _, number := range step.Nodes {
+			f.start(number, true)
+			delete(f.outOfTouch, number)
+		}
+	case actionChangeAndLoseDisks:
+		f.loseDisks(step.Nodes)
 	default:
 		f.t.Fatalf("no action %q", step.Do)
 	}
@@ -252,6 +284,29 @@
 	}
 }
 
+// loseDisks carries out actionChangeAndLoseDisks, and checks that the change is read and in force when the nodes have had the time
+// to recover.
+func (f *spreadFleet) loseDisks(numbers []int) {
+	f.sendChange(0)
+	f.abortAll()
+	for _, number := range numbers {
+		f.folders[number] = f.t.TempDir()
+	}
+	for i := range f.nodes {
+		f.start(i, false)
+	}
+	time.Sleep(recoveryBound)
+	for number := range spreadReplicas {
+		ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
+		value, err := f.nodes[number].Read(ctx)
+		cancel()
+		if err != nil || value.Version != f.version {
+			f.t.Errorf("node %d reads %v, error %v, after the loss; version %d was acknowledged", number, value, err, f.version)
+		}
+	}
+	f.checkSpread()
+}
+
 // interruptChange carries out actionInterruptedChange.
 func (f *spreadFleet) interruptChange(step *spreadStep) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
