--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// restorePower lets a VM be reached again.
+func (m *memoryNetwork) restorePower(vm netip.Addr) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.dark, vm)
+}
+
 // Dial implements relayer.Network.
 func (v vmNetwork) Dial(address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
 	time.Sleep(2 * memoryLatency)
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,6 +100,7 @@
 	t        *testing.T
 	scenario *spreadScenario
 	network  *memoryNetwork
+	nodesMu  sync.Mutex
 	// nodes holds the node on each VM, or nil before its start.
 	nodes   []*relayer.Node
 	folders []string
@@ -148,6 +150,21 @@
 
 // playSpread plays a scenario.
 func playSpread(t *testing.T, scenario *spreadScenario) {
+	f := newSpreadFleet(t, scenario)
+	defer f.close()
+	time.Sleep(spreadFormTime)
+	f.change(0)
+	time.Sleep(2 * applyBound)
+	started := time.Now()
+	for _, step := range scenario.Steps {
+		time.Sleep(time.Until(started.Add(step.At.Std())))
+		f.take(&step)
+	}
+}
+
+// newSpreadFleet starts the nodes of a scenario, except the late ones.
+func newSpreadFleet(t *testing.T, scenario *spreadScenario) *spreadFleet {
+	t.Helper()
 	f := &spreadFleet{t: t, scenario: scenario, network: newMemoryNetwork(scenario.Seed), outOfTouch: make(map[int]bool)}
 	f.network.lossPercent = scenario.LossPercent
 	f.text = documentWithRoutes(t, scenario.Routes)
@@ -161,19 +178,20 @@
 			f.start(i, true)
 		}
 	}
-	defer func() {
-		f.abortAll()
-		// The calls that are under way end at their timeouts.
-		time.Sleep(time.Minute)
-	}()
-	time.Sleep(spreadFormTime)
-	f.change(0)
-	time.Sleep(2 * applyBound)
-	started := time.Now()
-	for _, step := range scenario.Steps {
-		time.Sleep(time.Until(started.Add(step.At.Std())))
-		f.take(&step)
-	}
+	return f
+}
+
+// close ends all nodes, and waits until the calls that are under way have ended at their timeouts.
+func (f *spreadFleet) close() {
+	f.abortAll()
+	time.Sleep(time.Minute)
+}
+
+// node returns the node with the number.
+func (f *spreadFleet) node(number int) *relayer.Node {
+	f.nodesMu.Lock()
+	defer f.nodesMu.Unlock()
+	return f.nodes[number]
 }
 
 // documentWithRoutes returns the demonstration's document with further routes.
@@ -238,6 +256,8 @@
 	if err := node.Start(); err != nil {
 		f.t.Fatal(err)
 	}
+	f.nodesMu.Lock()
+	defer f.nodesMu.Unlock()
 	f.nodes[number] = node
 }
 
@@ -347,22 +367,25 @@
 // sendChange sends a change to a node until it is acknowledged.
 func (f *spreadFleet) sendChange(number int) {
 	f.t.Helper()
-	change := f.nextChange()
-	for deadline := time.Now().Add(spreadFormTime); ; {
-		ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
-		err := f.nodes[number].Change(ctx, change)
-		cancel()
-		if err == nil {
-			f.version = change.Version
-			return
-		}
+	for deadline := time.Now().Add(spreadFormTime); !f.tryChange(number); time.Sleep(checkInterval) {
 		if time.Now().After(deadline) {
-			f.t.Fatalf("version %d is not acknowledged: %v", change.Version, err)
+			f.t.Fatalf("version %d is not acknowledged", f.version+1)
 		}
-		time.Sleep(checkInterval)
 	}
 }
 
+// tryChange sends a change to a node once, and reports whether it is acknowledged.
+func (f *spreadFleet) tryChange(number int) bool {
+	ctx, cancel := context.WithTimeout(f.t.Context(), changeLimit)
+	defer cancel()
+	change := f.nextChange()
+	if f.node(number).Change(ctx, change) != nil {
+		return false
+	}
+	f.version = change.Version
+	return true
+}
+
 // checkSpread waits until the newest version, acknowledged just now, is in force at all nodes in touch, and fails the test
 // if that takes longer than applyBound.
 func (f *spreadFleet) checkSpread() {
