Check the status line of each response before anything believes it

Cause: the HTTP library's reader is lenient. It takes each three digits for a status, and its StatusCode() is 200 for zero; a status below 200 counted as an interim response; the reason phrase isn't looked at. All that reads answers (the upstream beside the node, peers, health and load requests, hints, the load generator, the commands) goes through forwarder.readFinalHeader and believed the library.

Change: internal/headchecker checks the raw status line in the read buffer, of interim responses too, as soon as it is complete and before the library parses it: HTTP/1.0 or 1.1, one blank, three digits from 100 to 599, a reason phrase without control bytes. What does not conform is ErrMalformed, an error of its own, and its connection is closed; so are errors of the library's parser that no failed read has caused, which were told as a lost connection.

Evidence: TestMalformedAnswerReachesNoCaller, over two nodes with an upstream that writes each case of casereader/responses.txtar.

golang.org/x/net/http/httpguts has the grammar of names and values.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -42,6 +42,8 @@
 // limitedReader limits the bytes that are read for one exchange. It counts all of them, including those that the HTTP
 // parser skips.
 type limitedReader struct {
+	// err is the error of the exchange's last read; nil if it has succeeded.
+	err       error
 	remaining int
 	source    io.Reader
 }
@@ -49,11 +51,13 @@
 // Read implements io.Reader. It returns ErrTooLong when no bytes remain.
 func (r *limitedReader) Read(buffer []byte) (int, error) {
 	if r.remaining <= 0 {
-		return 0, ErrTooLong
+		r.err = ErrTooLong
+		return 0, r.err
 	}
-	n, err := r.source.Read(buffer[:min(len(buffer), r.remaining)])
+	var n int
+	n, r.err = r.source.Read(buffer[:min(len(buffer), r.remaining)])
 	r.remaining -= n
-	return n, err
+	return n, r.err
 }
 
 // isClean reports whether an idle connection can be used for a request: the peer has not closed it and there is no
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,8 +1,9 @@
 // Package forwarder is an HTTP client with its own connection pool. It never retries: each request is sent at most
-// once. A connection is closed, not reused, after a timeout, a cancellation or a truncated response body.
+// once. A connection is closed, not reused, after a timeout, a cancellation, or a truncated or malformed response.
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
+	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
@@ -25,9 +27,10 @@
 	ErrCancelled = merry.Sentinel("cancelled")
 	// ErrForeign means that Exchange.Accept rejected the responses on the connection, or that they were unproven rejections.
 	ErrForeign = merry.Sentinel("answers to other requests")
-	// ErrLost means that the connection failed or ended before the whole response was read, or that the response is
-	// malformed.
+	// ErrLost means that the connection failed or ended before the whole response was read.
 	ErrLost = merry.Sentinel("connection lost")
+	// ErrMalformed means that the bytes read are no HTTP response. The request may have run.
+	ErrMalformed = merry.Sentinel("malformed answer")
 	// ErrNotSent means that no connection could be opened, that the deadline had already passed, or that the context
 	// was already done.
 	ErrNotSent = merry.Sentinel("not sent")
@@ -166,7 +169,7 @@
 }
 
 func (p *Pool) roundTrip(c *conn, x *Exchange, now time.Time) error {
-	c.limited.remaining = 2*p.maxBody + maxOverhead
+	c.limited.remaining, c.limited.err = 2*p.maxBody+maxOverhead, nil
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		return err
 	}
@@ -184,12 +187,13 @@
 
 // classify wraps an error of an exchange in the sentinel error for it, with the pool's address.
 func (p *Pool) classify(ctx context.Context, err error) error {
-	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case ctx.Err() != nil:
 		return fmt.Errorf("%w: %s", ErrCancelled, p.address)
-	case errors.Is(err, ErrTooLong), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+	case errors.Is(err, ErrTooLong), errors.Is(err, bufio.ErrBufferFull), errors.Is(err, fasthttp.ErrBodyTooLarge), isSmallBuffer(err):
 		return fmt.Errorf("%w: %s", ErrTooLong, p.address)
+	case errors.Is(err, headchecker.ErrMalformed):
+		return fmt.Errorf("%w: %s: %w", ErrMalformed, p.address, err)
 	case errors.Is(err, ErrOverdue), errors.Is(err, ErrNoLength), errors.Is(err, ErrForeign):
 		return fmt.Errorf("%s: %w", p.address, err)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
 )
 
 // Limits on reading a response, and body lengths as the HTTP library reports them.
@@ -57,10 +60,10 @@
 		return ErrNoLength
 	}
 	if err := x.Response.ReadBody(c.reader, p.maxBody); err != nil {
-		return err
+		return c.parseError(err)
 	}
 	if contentLength == chunkedLength {
-		return header.ReadTrailer(c.reader)
+		return c.parseError(header.ReadTrailer(c.reader))
 	}
 	return nil
 }
@@ -68,9 +71,12 @@
 // readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
 func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses {
-		if err := header.Read(c.reader); err != nil {
+		if err := headchecker.CheckResponse(c.reader); err != nil {
 			return err
 		}
+		if err := header.Read(c.reader); err != nil {
+			return c.parseError(err)
+		}
 		if header.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
@@ -78,6 +84,25 @@
 	return ErrTooLong
 }
 
+// maxParseErrorBytes limits the text of an error of the HTTP library, which quotes all that is buffered.
+const maxParseErrorBytes = 128
+
+// parseError returns an error that wraps headchecker.ErrMalformed for an error of the HTTP library that no failed read and no
+// limit has caused, since the bytes themselves are at fault then. It returns other errors as they are.
+func (c *conn) parseError(err error) error {
+	if err == nil || c.limited.err != nil || errors.Is(err, fasthttp.ErrBodyTooLarge) || isSmallBuffer(err) {
+		return err
+	}
+	text := err.Error()
+	return fmt.Errorf("%w: %s", headchecker.ErrMalformed, text[:min(len(text), maxParseErrorBytes)])
+}
+
+// isSmallBuffer reports whether the HTTP library found the read buffer too small.
+func isSmallBuffer(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	return errors.As(err, &small)
+}
+
 // hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
 func hasNoBody(status int) bool {
 	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
--- /dev/null
+++ b/internal/headchecker/startline.go
@@ -0,0 +1,47 @@
+package headchecker
+
+import (
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// The protocol versions of HTTP/1.
+const (
+	versionHTTP10 = "HTTP/1.0"
+	versionHTTP11 = "HTTP/1.1"
+)
+
+// checkStatusLine checks the first line of a response (RFC 9112, section 4). The space before an empty reason phrase can be
+// missing.
+func checkStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	if !isVersion(version) {
+		return &MalformedError{Part: PartVersion, Text: line}
+	}
+	status, reason, _ := strings.Cut(rest, " ")
+	if !isStatus(status) {
+		return &MalformedError{Part: PartStatus, Text: rest}
+	}
+	// A reason phrase can hold the same bytes as a field value.
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return &MalformedError{Part: PartReason, Text: reason}
+	}
+	return nil
+}
+
+func isVersion(text string) bool {
+	return text == versionHTTP11 || text == versionHTTP10
+}
+
+// isStatus reports whether text is a status code: three digits from 100 to 599 (RFC 9110, section 15).
+func isStatus(text string) bool {
+	if len(text) != 3 || text[0] < '1' || text[0] > '5' {
+		return false
+	}
+	return isDigit(text[1]) && isDigit(text[2])
+}
+
+func isDigit(c byte) bool {
+	return '0' <= c && c <= '9'
+}
--- /dev/null
+++ b/internal/relayer/malformed_test.go
@@ -0,0 +1,40 @@
+package relayer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/casereader"
+	"github.com/marigoldrelay/marigoldrelay/internal/demonstrator"
+	"github.com/marigoldrelay/marigoldrelay/internal/responder"
+)
+
+// TestMalformedAnswerReachesNoCaller guards against bytes of an upstream that are no response in the protocol and that reach
+// the caller of another node as an answer. The callers' requests are not idempotent, so that each must get a 502.
+func TestMalformedAnswerReachesNoCaller(t *testing.T) {
+	c := newTestCluster(t, 0, responder.Behaviour{})
+	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
+	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveCut)
+	awaitServing(t, c.Deployment, 1)
+	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+	for _, test := range casereader.Responses(t) {
+		t.Run(test.Name, func(t *testing.T) {
+			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+			req.Header.SetMethod(fasthttp.MethodPost)
+			req.SetRequestURI("http://test/entries")
+			req.SetBodyString(test.Wire)
+			if err := client.DoTimeout(req, resp, 30*time.Second); err != nil {
+				t.Fatal(err)
+			}
+			want := test.Status
+			if test.IsMalformed() {
+				want = fasthttp.StatusBadGateway
+			}
+			if resp.StatusCode() != want || !test.IsMalformed() && string(resp.Body()) != test.Body {
+				t.Errorf("got status %d with %q, want %d with %q", resp.StatusCode(), resp.Body(), want, test.Body)
+			}
+		})
+	}
+}
