Check the field lines of each response's head before they are believed

"Content-Length : 2" cut the body to two bytes of a whole 200; "Transfer Encoding: chunked" made the framing a part of the body; "Content Length: 2" let it run on to the end of the stream; "Seal : x" counted as the proof of origin. The same in interim answers.

Cause: the HTTP library trims blanks before the colon and tolerates them within a name, so that a line has the meaning that it seems to have, or none, where the next reader sees it otherwise. It also ignores the coding of a 1.0 answer, and where a head ends in a single LF it reads on for a CRLF, so that the body decided whether the head was whole.

Change: headchecker checks each line of the raw head: the name is a token right before the colon, the value holds no control bytes but tabs (also where it continues in the next line), a 1.0 answer has no Transfer-Encoding (RFC 9112, section 6.1), and the section ends in CRLF CRLF. A single LF at the end of another line stays allowed (section 2.2).

--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -9,7 +9,7 @@
 	"io"
 )
 
-// CheckResponse waits until r has buffered the head of a response, and checks its status line. Nothing is consumed.
+// CheckResponse waits until r has buffered the head of a response, and checks it. Nothing is consumed.
 //
 // The error wraps ErrMalformed and is a *MalformedError as soon as a line is complete that does not conform. It is
 // bufio.ErrBufferFull for a head that does not fit into the buffer, io.EOF for an empty stream, io.ErrUnexpectedEOF for a
--- a/internal/headchecker/malformederror.go
+++ b/internal/headchecker/malformederror.go
@@ -14,9 +14,13 @@
 
 // The values of Part.
 const (
-	PartReason  Part = "reason phrase"
-	PartStatus  Part = "status code"
-	PartVersion Part = "protocol version"
+	PartEnd        Part = "end of the section" // The empty line, which must end in CRLF like the line before it.
+	PartFieldName  Part = "field name"
+	PartFieldValue Part = "field value"
+	PartFraming    Part = "framing" // Fields that contradict the protocol version about the length of the body.
+	PartReason     Part = "reason phrase"
+	PartStatus     Part = "status code"
+	PartVersion    Part = "protocol version"
 )
 
 // maxQuotedBytes limits how much of a malformed part its error quotes.
--- a/internal/headchecker/startline.go
+++ b/internal/headchecker/startline.go
@@ -14,20 +14,20 @@
 
 // checkStatusLine checks the first line of a response (RFC 9112, section 4). The space before an empty reason phrase can be
 // missing.
-func checkStatusLine(line string) error {
+func checkStatusLine(line string) (version string, err error) {
 	version, rest, _ := strings.Cut(line, " ")
 	if !isVersion(version) {
-		return &MalformedError{Part: PartVersion, Text: line}
+		return "", &MalformedError{Part: PartVersion, Text: line}
 	}
 	status, reason, _ := strings.Cut(rest, " ")
 	if !isStatus(status) {
-		return &MalformedError{Part: PartStatus, Text: rest}
+		return "", &MalformedError{Part: PartStatus, Text: rest}
 	}
 	// A reason phrase can hold the same bytes as a field value.
 	if !httpguts.ValidHeaderFieldValue(reason) {
-		return &MalformedError{Part: PartReason, Text: reason}
+		return "", &MalformedError{Part: PartReason, Text: reason}
 	}
-	return nil
+	return version, nil
 }
 
 func isVersion(text string) bool {
