Check trailers, and take nothing in them for a header

Worse, "not executed" in the trailer of a 200 was read as a promise: the request had run, the caller got 503 "not run", and could send a non-idempotent request again. An id in the trailer made an answer one to another request, and the caller waited until its deadline.

Cause: the HTTP library looks a field up in the header and then in the trailer, and when Trailer is removed, as on each hop, it makes trailer lines header lines. A node passes bodies on with a length, so there is no place for a trailer.

Change: trailer lines are checked like header lines, read into a header of their own and dropped (RFC 9110, section 6.5.1).

--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -44,7 +44,7 @@
 	return ErrForeign
 }
 
-// readResponse reads one whole response: header, body and trailer. Without AcceptNoLength, a body that ends with the
+// readResponse reads one whole response. Its trailer is read and dropped. Without AcceptNoLength, a body that ends with the
 // stream is an error, because a truncated body could not be detected.
 func (p *Pool) readResponse(c *conn, x *Exchange) error {
 	header := &x.Response.Header
@@ -63,11 +63,21 @@
 		return c.parseError(err)
 	}
 	if contentLength == chunkedLength {
-		return c.parseError(header.ReadTrailer(c.reader))
+		return discardTrailer(c)
 	}
 	return nil
 }
 
+// discardTrailer reads the trailer and drops its fields. They are no header fields (RFC 9110, section 6.5.1), and the body is
+// passed on with a length, so that no trailer can follow it.
+func discardTrailer(c *conn) error {
+	if err := headchecker.CheckTrailer(c.reader); err != nil {
+		return err
+	}
+	var dropped fasthttp.ResponseHeader
+	return c.parseError(dropped.ReadTrailer(c.reader))
+}
+
 // readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
 func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses {
--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -1,4 +1,4 @@
-// Package headchecker checks the heads of HTTP/1.1 messages against the grammar of RFC 9112 before the HTTP
+// Package headchecker checks the heads and trailers of HTTP/1.1 messages against the grammar of RFC 9112 before the HTTP
 // library parses them. The library is lenient: the next recipient can read what it accepts in another way.
 package headchecker
 
@@ -18,6 +18,11 @@
 	return checkLines(r, &section{checkStartLine: checkStatusLine})
 }
 
+// CheckTrailer does the same with the trailer section that ends a chunked body, from the line behind the last chunk on.
+func CheckTrailer(r *bufio.Reader) error {
+	return checkLines(r, &section{followsCRLF: true})
+}
+
 // checkLines checks each line of the section as soon as r has buffered it.
 func checkLines(r *bufio.Reader, s *section) error {
 	checked := 0
--- a/internal/headchecker/malformederror.go
+++ b/internal/headchecker/malformederror.go
@@ -6,10 +6,10 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// ErrMalformed is wrapped by the error for a head that does not conform to the grammar.
+// ErrMalformed is wrapped by the error for a head or trailer that does not conform to the grammar.
 var ErrMalformed = merry.Sentinel("malformed HTTP message")
 
-// Part is a part of a head.
+// Part is a part of a head or trailer.
 type Part string
 
 // The values of Part.
@@ -26,7 +26,7 @@
 // maxQuotedBytes limits how much of a malformed part its error quotes.
 const maxQuotedBytes = 64
 
-// MalformedError tells which part of a head does not conform to the grammar. It wraps ErrMalformed.
+// MalformedError tells which part of a head or trailer does not conform to the grammar. It wraps ErrMalformed.
 type MalformedError struct {
 	Part Part
 	// Text holds the bytes of the part.
--- a/internal/headchecker/section.go
+++ b/internal/headchecker/section.go
@@ -6,15 +6,16 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// section is the state of checking a head line by line.
+// section is the state of checking a head or trailer line by line.
 type section struct {
-	// checkStartLine checks the first line and returns the protocol version in it. It is nil once it has been called.
+	// checkStartLine checks the first line and returns the protocol version in it. It is nil once it has been called, and
+	// for a trailer.
 	checkStartLine func(line string) (version string, err error)
 	// followsCRLF is true if the line before ended in CRLF, not in a single LF.
 	followsCRLF bool
 	// hasField is true if a field line precedes, which the next line can continue.
 	hasField bool
-	// version is the protocol version in the start line.
+	// version is the protocol version in the start line; empty for a trailer.
 	version string
 }
 
