Tell, count and log malformed answers as what they are

What callers and operators saw: an answer that was no HTTP response was told as "the upstream closed the connection before its whole answer"; nothing named the instance or the part that was broken.

The reason on the wire stays upstream-failed: a node of an earlier version answers a reason that it doesn't know with 503, which would promise that the request has not run. As before such a failure counts for the limiter and for poison requests, since a process can write such bytes as it crashes.

Evidence: TestMalformedAnswerReachesNoCaller counts each malformed case once; TestMalformedProbeAnswerIsFailure and TestMalformedHealthAnswerIsUnhealthy: a health answer with status 000 is a failed probe and an unhealthy hint.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -133,6 +133,9 @@
 		c.counter.Event("foreign_answers")
 		err = forwarder.ErrLost
 	}
+	if errors.Is(err, forwarder.ErrMalformed) {
+		c.counter.Event("malformed_peer_answers")
+	}
 	return c.outcomeWithoutResponse(ctx, to, &a, err, resp, deadline)
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -129,6 +129,9 @@
 	OnConditions func(named NamedConditions)
 	// OnCrash is called with each crash of the upstream before it is reported; it can be nil.
 	OnCrash func(crash *quarantiner.Crash)
+	// OnMalformedAnswer is called when the process of the upstream has answered an attempt with bytes that are no response,
+	// with the error that tells which part of them is malformed; it can be nil.
+	OnMalformedAnswer func(x *Execution, process announcer.Process, err error)
 	// OnUpstreamDown is called with the upstream's process when it is gone.
 	OnUpstreamDown func(process announcer.Process)
 	// OnUpstreamLeaving is called with the upstream's process, which an entry node may have told, when it names itself
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -225,6 +225,13 @@
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer belongs to another request or is not its own")
 	case errors.Is(err, forwarder.ErrTooLong):
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer is too long")
+	case errors.Is(err, forwarder.ErrMalformed):
+		if e.OnMalformedAnswer != nil {
+			e.OnMalformedAnswer(x, atStart.process, err)
+		}
+		// A process can write such bytes as it crashes.
+		e.reportLoss(ctx, x)
+		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer is malformed")
 	case errors.Is(err, forwarder.ErrNoLength):
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer has no length")
 	default:
--- a/internal/hintreader/hintreader.go
+++ b/internal/hintreader/hintreader.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -135,5 +136,8 @@
 		Request:       req,
 		Response:      resp,
 	})
+	if errors.Is(err, forwarder.ErrMalformed) {
+		r.counter.Event("malformed_hints")
+	}
 	return resp.StatusCode(), resp.Body(), err
 }
--- a/internal/hintreader/hintreader_test.go
+++ b/internal/hintreader/hintreader_test.go
@@ -1,6 +1,12 @@
 package hintreader
 
-import "testing"
+import (
+	"net"
+	"testing"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
+)
 
 func TestMisleadingHints(t *testing.T) {
 	tests := map[string]struct {
@@ -23,3 +29,35 @@
 		}
 	}
 }
+
+// countingCounter is a Counter.
+type countingCounter map[string]int
+
+func (c countingCounter) Event(name string) { c[name]++ }
+
+// TestMalformedHealthAnswerIsUnhealthy guards against a health answer with the status 000 that counts as a healthy one.
+func TestMalformedHealthAnswerIsUnhealthy(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		conn, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1024))
+		_, _ = conn.Write([]byte("HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok"))
+		_ = conn.Close()
+	}()
+	counter := make(countingCounter)
+	observed := Observation{
+		Announcement: announcer.Announcement{Address: socket.Addr().String(), HealthPath: "/health", State: announcer.StateReady},
+	}
+	r := New(timekeeper.System{}, counter, func() Observation { return observed })
+	r.Read(t.Context())
+	if r.Current().Healthy || counter["malformed_hints"] != 1 {
+		t.Errorf("healthy: %t, %d malformed hints; want unhealthy and one", r.Current().Healthy, counter["malformed_hints"])
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"net/netip"
 	"sync"
@@ -72,6 +73,9 @@
 	// UpstreamDiscovered is called with an upstream that was not known to be ready and has answered that it is
 	// healthy.
 	UpstreamDiscovered(a announcer.Announcement)
+	// AnswerMalformed is called when an instance, empty if it is not known, has answered with bytes that are no response, with
+	// the error that tells which part of them is malformed.
+	AnswerMalformed(instance string, err error)
 	// ObserveConditions is called with the conditions in each answer.
 	ObserveConditions(named executor.NamedConditions)
 	// Report is called with the load from an answer of a ready upstream.
@@ -252,6 +256,9 @@
 	})
 	if err != nil {
 		p.counter.Event("probes_failed")
+		if errors.Is(err, forwarder.ErrMalformed) {
+			p.node.AnswerMalformed(target.Instance, err)
+		}
 		return interpreter.Answer{}, 0
 	}
 	answer := p.interpreter.ReadAnswer(&resp.Header)
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -17,14 +17,17 @@
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
-// fakeNode has one ready upstream and counts the reports of its load.
+// fakeNode has one ready upstream and counts the reports of its load and its malformed answers.
 type fakeNode struct {
-	address netip.AddrPort
-	reports atomic.Int64
+	address   netip.AddrPort
+	malformed atomic.Int64
+	reports   atomic.Int64
 }
 
 func (f *fakeNode) UpstreamDiscovered(announcer.Announcement) {}
 
+func (f *fakeNode) AnswerMalformed(string, error) { f.malformed.Add(1) }
+
 func (f *fakeNode) ObserveConditions(executor.NamedConditions) {}
 
 func (f *fakeNode) Report(interpreter.Load) { f.reports.Add(1) }
@@ -76,6 +79,33 @@
 	return New(timekeeper.System{}, counts, loadInterpreter{}, node), node, counts
 }
 
+// TestMalformedProbeAnswerIsFailure guards against a health answer with the status 000 that counts as a healthy one.
+func TestMalformedProbeAnswerIsFailure(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1024))
+			_, _ = conn.Write([]byte("HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok"))
+			_ = conn.Close()
+		}
+	}()
+	node := &fakeNode{address: netip.MustParseAddrPort(socket.Addr().String())}
+	counts := &eventCounts{events: make(map[string]int)}
+	p := New(timekeeper.System{}, counts, loadInterpreter{}, node)
+	<-p.startLoadProbe()
+	if failed, malformed, reports := counts.count("probes_failed"), node.malformed.Load(), node.reports.Load(); failed != 1 || malformed != 1 || reports != 0 {
+		t.Errorf("%d failed probes, %d malformed answers and %d reports, want 1, 1 and 0", failed, malformed, reports)
+	}
+}
+
 // TestConcurrentLoadProbesAreShared starts ten load probes before the upstream has answered the first. The upstream
 // must get one health request, and all callers must return after its answer.
 func TestConcurrentLoadProbesAreShared(t *testing.T) {
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -196,6 +196,13 @@
 		"rate-limit", named.RateLimit.PerSecond, "invalid", named.RateLimit.Invalid, "leaving", named.Leaving)
 }
 
+// answerMalformed counts and logs bytes of the upstream that are no response to the attempt.
+func (n *Node) answerMalformed(x *executor.Execution, process announcer.Process, err error) {
+	n.meter.Event("malformed_answers")
+	n.events.write(false, "An answer of the upstream is malformed.", "request", x.Attempt.RequestID, "call", x.Attempt.Call,
+		"instance", process.Instance, "error", err)
+}
+
 // isRoutine reports whether the outcome is normal in operation: an answer, a request that was handed back, or an
 // attempt that was cancelled, such as the slower one of a hedged call.
 func isRoutine(outcome *carrier.Outcome) bool {
--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -12,13 +12,15 @@
 )
 
 // TestMalformedAnswerReachesNoCaller guards against bytes of an upstream that are no response in the protocol and that reach
-// the caller of another node as an answer. The callers' requests are not idempotent, so that each must get a 502.
+// the caller of another node as an answer. The callers' requests are not idempotent, so that each must get a 502. The node
+// beside the upstream must count each.
 func TestMalformedAnswerReachesNoCaller(t *testing.T) {
 	c := newTestCluster(t, 0, responder.Behaviour{})
 	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
 	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveCut)
 	awaitServing(t, c.Deployment, 1)
 	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+	malformed := uint64(0)
 	for _, test := range casereader.Responses(t) {
 		t.Run(test.Name, func(t *testing.T) {
 			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
@@ -31,10 +33,14 @@
 			want := test.Status
 			if test.IsMalformed() {
 				want = fasthttp.StatusBadGateway
+				malformed++
 			}
 			if resp.StatusCode() != want || !test.IsMalformed() && string(resp.Body()) != test.Body {
 				t.Errorf("got status %d with %q, want %d with %q", resp.StatusCode(), resp.Body(), want, test.Body)
 			}
 		})
 	}
+	if count := target.Node.Meter().EventCount("malformed_answers"); count != malformed {
+		t.Errorf("%d malformed answers were counted, want %d", count, malformed)
+	}
 }
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -228,6 +228,7 @@
 		Name:              n.settings.Name,
 		OnConditions:      n.conditionsChanged,
 		OnCrash:           n.upstreamCrashed,
+		OnMalformedAnswer: n.answerMalformed,
 		OnUpstreamDown:    n.markUpstreamDown,
 		OnUpstreamLeaving: func(process announcer.Process) { n.registrar.MarkLeaving(process) },
 		ProcessName:       sender,
--- a/internal/relayer/probernode.go
+++ b/internal/relayer/probernode.go
@@ -23,6 +23,12 @@
 	p.node.executor.ObserveConditions(named)
 }
 
+// AnswerMalformed counts and logs bytes of the upstream that are no response to a probe.
+func (p proberNode) AnswerMalformed(instance string, err error) {
+	p.node.meter.Event("malformed_probe_answers")
+	p.node.events.write(false, "An answer of the upstream to a probe is malformed.", "instance", instance, "error", err)
+}
+
 // Report passes to the executor the load that the upstream itself reports.
 func (p proberNode) Report(load interpreter.Load) {
 	p.node.executor.UpdateLoad(load)
