Try an idempotent request elsewhere when its upstream beside another node has failed

What callers saw: an idempotent request whose upstream answered with malformed bytes, or broke off, got 502 where that upstream was beside another node, unless a hedge happened to run. Beside the entry node itself it was tried elsewhere.

Cause: the node beside the upstream marks such an outcome as lost, and the mark is not on the wire: the entry read the refusal, "may have run", without it, and dispatcher.retryReason retries only what is lost.

Change: the entry, which knows whether its attempt is idempotent, derives the mark from the refusal. Attempts, the deadline and both budgets bound the retry as before.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -230,7 +230,7 @@
 	// Condition is that of the upstream beside the node that had the attempt last; nil if it asks for nothing.
 	Condition *UpstreamCondition
 	Load      Load
-	// Lost is true if the outcome of an idempotent attempt did not arrive.
+	// Lost is true if the outcome of an idempotent attempt did not arrive, at the node or from its upstream.
 	Lost bool
 	// Refusal is nil if the upstream has responded.
 	Refusal *refuser.Refusal
@@ -274,6 +274,7 @@
 		}
 		typed := refuser.Refusal(wire)
 		outcome.Refusal = &typed
+		outcome.Lost = a.Idempotent && !typed.IsNotRun()
 	}
 	RemoveOutcome(resp)
 	return outcome, true
--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -1,6 +1,8 @@
 package relayer_test
 
 import (
+	"bufio"
+	"net"
 	"testing"
 	"time"
 
@@ -44,3 +46,53 @@
 		t.Errorf("%d malformed answers were counted, want %d", count, malformed)
 	}
 }
+
+// serveMalformed answers each request with a status that is none.
+func serveMalformed(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		var req fasthttp.Request
+		if req.Read(reader) != nil {
+			return
+		}
+		if _, err := conn.Write([]byte("HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nno")); err != nil {
+			return
+		}
+	}
+}
+
+// TestMalformedAnswerIsTriedElsewhere guards against an idempotent request that fails because one of its upstreams, beside
+// another node, answers with bytes that are no response. The calls before have earned the retries.
+func TestMalformedAnswerIsTriedElsewhere(t *testing.T) {
+	const (
+		earningCalls     = 100
+		malformedAnswers = 3
+		maxCalls         = 500
+	)
+	c := newTestCluster(t, 1, responder.Behaviour{Slots: 4})
+	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
+	call := func() {
+		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+		req.SetRequestURI("http://test/entries")
+		if err := client.DoTimeout(req, resp, 30*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode() != fasthttp.StatusOK {
+			t.Errorf("status %d with %q", resp.StatusCode(), resp.Body())
+		}
+	}
+	for range earningCalls {
+		call()
+	}
+	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "malformed"})
+	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveMalformed)
+	awaitServing(t, c.Deployment, 2)
+	malformed := func() uint64 { return target.Node.Meter().EventCount("malformed_answers") }
+	for calls := 0; calls < maxCalls && malformed() < malformedAnswers; calls++ {
+		call()
+	}
+	if got := malformed(); got < malformedAnswers {
+		t.Errorf("%d malformed answers, want %d", got, malformedAnswers)
+	}
+}
