Refuse requests whose head is not HTTP/1.1 to the letter

What upstreams saw: a request with "A B: c" or "Content Length: 3" was taken and passed on. HTTP/2.0 and 1.2 requests, "A : c" in trailers, and heads that end in a single LF, depending on the body, were taken as well. Trailer fields of a request were passed on as header fields.

Cause: the same lenient reader as for answers, on the callers' side. RFC 9112, section 5.1, asks for 400.

Change: the listener, through which all requests are read, checks the raw head with headchecker before the library parses it, and drops the trailers of chunked bodies as the forwarder does (headchecker.DropTrailer is now both's).

--- a/internal/casereader/casereader.go
+++ b/internal/casereader/casereader.go
@@ -11,6 +11,9 @@
 	"github.com/rogpeppe/go-internal/txtar"
 )
 
+//go:embed requests.txtar
+var requests []byte
+
 //go:embed responses.txtar
 var responses []byte
 
@@ -19,17 +22,24 @@
 	Name string
 	// Wire holds the bytes of the message.
 	Wire string
-	// Status is the status of the response to take from it; zero for a malformed response, which is no answer.
+	// Status is the status of the response to take from it, or that of the response to the request; zero for a malformed
+	// message, which is no answer, or must get 400.
 	Status int
 	// Body is the body to take from it.
 	Body string
 }
 
-// IsMalformed reports whether no response must be taken from the message.
+// IsMalformed reports whether nothing must be taken from the message.
 func (c *Case) IsMalformed() bool {
 	return c.Status == 0
 }
 
+// Requests returns the cases of requests.
+func Requests(tb testing.TB) []Case {
+	tb.Helper()
+	return parse(tb, requests)
+}
+
 // Responses returns the cases of responses.
 func Responses(tb testing.TB) []Case {
 	tb.Helper()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,7 +3,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -190,7 +189,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return fmt.Errorf("%w: %s", ErrCancelled, p.address)
-	case errors.Is(err, ErrTooLong), errors.Is(err, bufio.ErrBufferFull), errors.Is(err, fasthttp.ErrBodyTooLarge), isSmallBuffer(err):
+	case isTooLong(err):
 		return fmt.Errorf("%w: %s", ErrTooLong, p.address)
 	case errors.Is(err, headchecker.ErrMalformed):
 		return fmt.Errorf("%w: %s: %w", ErrMalformed, p.address, err)
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"os"
@@ -63,21 +64,11 @@
 		return c.parseError(err)
 	}
 	if contentLength == chunkedLength {
-		return discardTrailer(c)
+		return c.parseError(headchecker.DropTrailer(c.reader))
 	}
 	return nil
 }
 
-// discardTrailer reads the trailer and drops its fields. They are no header fields (RFC 9110, section 6.5.1), and the body is
-// passed on with a length, so that no trailer can follow it.
-func discardTrailer(c *conn) error {
-	if err := headchecker.CheckTrailer(c.reader); err != nil {
-		return err
-	}
-	var dropped fasthttp.ResponseHeader
-	return c.parseError(dropped.ReadTrailer(c.reader))
-}
-
 // readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
 func readFinalHeader(c *conn, header *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses {
@@ -100,17 +91,17 @@
 // parseError returns an error that wraps headchecker.ErrMalformed for an error of the HTTP library that no failed read and no
 // limit has caused, since the bytes themselves are at fault then. It returns other errors as they are.
 func (c *conn) parseError(err error) error {
-	if err == nil || c.limited.err != nil || errors.Is(err, fasthttp.ErrBodyTooLarge) || isSmallBuffer(err) {
+	if err == nil || c.limited.err != nil || errors.Is(err, headchecker.ErrMalformed) || isTooLong(err) {
 		return err
 	}
 	text := err.Error()
 	return fmt.Errorf("%w: %s", headchecker.ErrMalformed, text[:min(len(text), maxParseErrorBytes)])
 }
 
-// isSmallBuffer reports whether the HTTP library found the read buffer too small.
-func isSmallBuffer(err error) bool {
+// isTooLong reports whether a response exceeds a limit: on its bytes, on its body, or the read buffer for its head.
+func isTooLong(err error) bool {
 	var small *fasthttp.ErrSmallBuffer
-	return errors.As(err, &small)
+	return errors.Is(err, ErrTooLong) || errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, bufio.ErrBufferFull) || errors.As(err, &small)
 }
 
 // hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -7,20 +7,34 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/valyala/fasthttp"
 )
 
-// CheckResponse waits until r has buffered the head of a response, and checks it. Nothing is consumed.
+// CheckRequest waits until r has buffered the head of a request, and checks it. Empty lines before the head are accepted
+// (RFC 9112, section 2.2). Nothing is consumed.
 //
 // The error wraps ErrMalformed and is a *MalformedError as soon as a line is complete that does not conform. It is
 // bufio.ErrBufferFull for a head that does not fit into the buffer, io.EOF for an empty stream, io.ErrUnexpectedEOF for a
 // head that is cut, and otherwise the error of reading.
+func CheckRequest(r *bufio.Reader) error {
+	return checkLines(r, &section{checkStartLine: checkRequestLine, skipsEmptyLines: true})
+}
+
+// CheckResponse does the same with the head of a response, which no empty line precedes.
 func CheckResponse(r *bufio.Reader) error {
 	return checkLines(r, &section{checkStartLine: checkStatusLine})
 }
 
-// CheckTrailer does the same with the trailer section that ends a chunked body, from the line behind the last chunk on.
-func CheckTrailer(r *bufio.Reader) error {
-	return checkLines(r, &section{followsCRLF: true})
+// DropTrailer checks the trailer section that ends a chunked body, from the line behind the last chunk on, and consumes it. Its
+// fields are dropped: they are no header fields (RFC 9110, section 6.5.1), and nodes pass bodies on with a length, so that no
+// trailer can follow. The error is one of CheckRequest's or that of the HTTP library for a field that trailers can't hold.
+func DropTrailer(r *bufio.Reader) error {
+	if err := checkLines(r, &section{followsCRLF: true}); err != nil {
+		return err
+	}
+	var dropped fasthttp.ResponseHeader
+	return dropped.ReadTrailer(r)
 }
 
 // checkLines checks each line of the section as soon as r has buffered it.
--- a/internal/headchecker/malformederror.go
+++ b/internal/headchecker/malformederror.go
@@ -18,8 +18,10 @@
 	PartFieldName  Part = "field name"
 	PartFieldValue Part = "field value"
 	PartFraming    Part = "framing" // Fields that contradict the protocol version about the length of the body.
+	PartMethod     Part = "method"
 	PartReason     Part = "reason phrase"
 	PartStatus     Part = "status code"
+	PartTarget     Part = "request target"
 	PartVersion    Part = "protocol version"
 )
 
--- a/internal/headchecker/section.go
+++ b/internal/headchecker/section.go
@@ -13,6 +13,8 @@
 	checkStartLine func(line string) (version string, err error)
 	// followsCRLF is true if the line before ended in CRLF, not in a single LF.
 	followsCRLF bool
+	// skipsEmptyLines is true if empty lines can precede the start line.
+	skipsEmptyLines bool
 	// hasField is true if a field line precedes, which the next line can continue.
 	hasField bool
 	// version is the protocol version in the start line; empty for a trailer.
@@ -26,6 +28,8 @@
 	followsCRLF := s.followsCRLF
 	s.followsCRLF = isCRLF
 	switch {
+	case line == "" && s.checkStartLine != nil && s.skipsEmptyLines:
+		return false, nil
 	case s.checkStartLine != nil:
 		check := s.checkStartLine
 		s.checkStartLine = nil
--- a/internal/headchecker/startline.go
+++ b/internal/headchecker/startline.go
@@ -30,6 +30,22 @@
 	return version, nil
 }
 
+// checkRequestLine checks the first line of a request (RFC 9112, section 3).
+func checkRequestLine(line string) (version string, err error) {
+	method, rest, _ := strings.Cut(line, " ")
+	if !httpguts.ValidHeaderFieldName(method) {
+		return "", &MalformedError{Part: PartMethod, Text: line}
+	}
+	target, version, _ := strings.Cut(rest, " ")
+	if target == "" || !httpguts.ValidHeaderFieldValue(target) || strings.Contains(target, "\t") {
+		return "", &MalformedError{Part: PartTarget, Text: rest}
+	}
+	if !isVersion(version) {
+		return "", &MalformedError{Part: PartVersion, Text: version}
+	}
+	return version, nil
+}
+
 func isVersion(text string) bool {
 	return text == versionHTTP11 || text == versionHTTP10
 }
--- a/internal/listener/request.go
+++ b/internal/listener/request.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
 )
 
 // readRequest reads the request whose first byte has arrived.
@@ -65,23 +67,37 @@
 	return c.drainReads >= maxDrainReads
 }
 
-// readHeader reads a header of at most limit bytes. The buffer grows to the limit only for a header that does not fit,
-// because most connections never receive one.
+// readHeader reads and checks a header of at most limit bytes. The buffer grows to the limit only for a header that does not
+// fit, because most connections never receive one.
 func (c *conn) readHeader(header *fasthttp.RequestHeader, limit int) error {
-	err := header.Read(c.reader)
-	var small *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &small) || c.reader.Size() >= limit {
-		return err
+	err := headchecker.CheckRequest(c.reader)
+	if errors.Is(err, bufio.ErrBufferFull) && c.reader.Size() < limit {
+		c.growBuffer(limit)
+		err = headchecker.CheckRequest(c.reader)
 	}
-	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
-		return err
+		return smallBufferError(err)
 	}
-	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn)
-	c.reader = bufio.NewReaderSize(rest, limit)
 	return header.Read(c.reader)
 }
 
+// growBuffer replaces the read buffer with one of the given size, in bytes.
+func (c *conn) growBuffer(size int) {
+	// As many bytes are buffered, so that this does not fail.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn)
+	c.reader = bufio.NewReaderSize(rest, size)
+}
+
+// smallBufferError returns the HTTP library's error for a header or trailer that does not fit into the buffer, and other errors
+// as they are.
+func smallBufferError(err error) error {
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return &fasthttp.ErrSmallBuffer{}
+	}
+	return err
+}
+
 // readBody reads a body of at most limit bytes, after an interim 100 response if the caller expects one.
 func (c *conn) readBody(req *fasthttp.Request, limit int) error {
 	if req.MayContinue() {
@@ -90,7 +106,13 @@
 		}
 	}
 	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return req.ContinueReadBody(c.reader, limit, false)
+	if req.Header.ContentLength() != chunkedLength {
+		return req.ContinueReadBody(c.reader, limit, false)
+	}
+	if err := req.ReadBody(c.reader, chunkedLength, limit); err != nil {
+		return err
+	}
+	return smallBufferError(headchecker.DropTrailer(c.reader))
 }
 
 // writeContinue writes the interim 100 response when the requests before are answered, so that it is not taken for a part
