Read the answers to announcements with the pool that checks them

What upstreams saw: an answer with the status 000 to an announcement counted as its acknowledgement, so that an upstream about to leave could go on the word of something that is no node.

Cause: pkg/announcer was the one place that read answers with the HTTP library's own client, with the same lenient reader.

Change: it uses forwarder.Pool, as all others do. An announcement under way is still not cancelled with its context, only bound by its deadline.

Evidence: TestMalformedAnswerAcknowledgesNothing fails on the code before.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -10,6 +10,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 const (
@@ -25,9 +28,9 @@
 
 // Announcer announces one upstream to its node and renews the lease. It is safe for concurrent use.
 type Announcer struct {
-	client  *fasthttp.HostClient
 	node    netip.AddrPort
 	onError func(error)
+	pool    *forwarder.Pool
 	// renewNow makes Run send before its interval has passed.
 	renewNow chan struct{}
 
@@ -51,10 +54,10 @@
 // sends it and renews the lease.
 func New(node netip.AddrPort, initial Announcement, options ...Option) *Announcer {
 	a := &Announcer{
-		client:   &fasthttp.HostClient{Addr: node.String()},
 		current:  initial,
 		node:     node,
 		onError:  func(error) {},
+		pool:     forwarder.New(node, timekeeper.System{}, forwarder.WithMaxBody(forwarder.ShortMaxBody)),
 		renewNow: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -114,14 +117,15 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + a.node.String() + Path)
+	req.SetRequestURI(Path)
+	req.Header.SetHost(a.node.String())
 	req.Header.SetContentType("application/json")
 	req.SetBody(body)
 	deadline := time.Now().Add(callTimeout)
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(deadline) {
 		deadline = ctxDeadline
 	}
-	if err := a.client.DoDeadline(req, resp, deadline); err != nil {
+	if err := a.pool.Do(context.WithoutCancel(ctx), &forwarder.Exchange{Deadline: deadline, Request: req, Response: resp}); err != nil {
 		return Lease{}, fmt.Errorf("announcing to %s: %w", a.node, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
