Check heads without copying them

The check converted each line to a string. It reads the buffer in place now, with tables of the bytes that names and values can hold, made from httpguts.

--- a/internal/headchecker/startline.go
+++ b/internal/headchecker/startline.go
@@ -1,10 +1,6 @@
 package headchecker
 
-import (
-	"strings"
-
-	"golang.org/x/net/http/httpguts"
-)
+import "bytes"
 
 // The protocol versions of HTTP/1.
 const (
@@ -14,48 +10,54 @@
 
 // checkStatusLine checks the first line of a response (RFC 9112, section 4). The space before an empty reason phrase can be
 // missing.
-func checkStatusLine(line string) (version string, err error) {
-	version, rest, _ := strings.Cut(line, " ")
-	if !isVersion(version) {
-		return "", &MalformedError{Part: PartVersion, Text: line}
+func checkStatusLine(line []byte) (version string, err error) {
+	protocol, rest, _ := bytes.Cut(line, blank)
+	version, ok := parseVersion(protocol)
+	if !ok {
+		return "", &MalformedError{Part: PartVersion, Text: string(line)}
 	}
-	status, reason, _ := strings.Cut(rest, " ")
+	status, reason, _ := bytes.Cut(rest, blank)
 	if !isStatus(status) {
-		return "", &MalformedError{Part: PartStatus, Text: rest}
+		return "", &MalformedError{Part: PartStatus, Text: string(rest)}
 	}
 	// A reason phrase can hold the same bytes as a field value.
-	if !httpguts.ValidHeaderFieldValue(reason) {
-		return "", &MalformedError{Part: PartReason, Text: reason}
+	if !isFieldValue(reason) {
+		return "", &MalformedError{Part: PartReason, Text: string(reason)}
 	}
 	return version, nil
 }
 
 // checkRequestLine checks the first line of a request (RFC 9112, section 3).
-func checkRequestLine(line string) (version string, err error) {
-	method, rest, _ := strings.Cut(line, " ")
-	if !httpguts.ValidHeaderFieldName(method) {
-		return "", &MalformedError{Part: PartMethod, Text: line}
+func checkRequestLine(line []byte) (version string, err error) {
+	method, rest, _ := bytes.Cut(line, blank)
+	if !isToken(method) {
+		return "", &MalformedError{Part: PartMethod, Text: string(line)}
 	}
-	target, version, _ := strings.Cut(rest, " ")
-	if target == "" || !httpguts.ValidHeaderFieldValue(target) || strings.Contains(target, "\t") {
-		return "", &MalformedError{Part: PartTarget, Text: rest}
+	target, protocol, _ := bytes.Cut(rest, blank)
+	if len(target) == 0 || !isFieldValue(target) || bytes.IndexByte(target, '\t') >= 0 {
+		return "", &MalformedError{Part: PartTarget, Text: string(rest)}
 	}
-	if !isVersion(version) {
-		return "", &MalformedError{Part: PartVersion, Text: version}
+	version, ok := parseVersion(protocol)
+	if !ok {
+		return "", &MalformedError{Part: PartVersion, Text: string(protocol)}
 	}
 	return version, nil
 }
 
-func isVersion(text string) bool {
-	return text == versionHTTP11 || text == versionHTTP10
+func parseVersion(text []byte) (version string, ok bool) {
+	switch string(text) {
+	case versionHTTP11:
+		return versionHTTP11, true
+	case versionHTTP10:
+		return versionHTTP10, true
+	default:
+		return "", false
+	}
 }
 
 // isStatus reports whether text is a status code: three digits from 100 to 599 (RFC 9110, section 15).
-func isStatus(text string) bool {
-	if len(text) != 3 || text[0] < '1' || text[0] > '5' {
-		return false
-	}
-	return isDigit(text[1]) && isDigit(text[2])
+func isStatus(text []byte) bool {
+	return len(text) == 3 && '1' <= text[0] && text[0] <= '5' && isDigit(text[1]) && isDigit(text[2])
 }
 
 func isDigit(c byte) bool {
