Limit the memory that answers occupy in a process

What other operators saw: a faulty instance sent bytes without end until the caller closed; the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it. It can happen here: a head is bounded by its buffer and a body by max-body-bytes, but nothing bounds the bodies of all requests at once.

Change: budgeter.Memory, shared by the pools of a node, counts what bodies over 16 KiB occupy, with their copies, from the first block until the answer that they became is written. Where one finds no room, the largest that is being received is given up, not the one that came last: its connection is closed, its attempt fails as answer-memory ("may have run", 502), and an idempotent request is tried elsewhere. Whole answers are not given up. Bodies are read in blocks of 64 KiB that are reused, so that memory follows what has arrived, not what is announced, and no buffer doubles. The setting max-answer-memory-bytes, 64 MiB by default. Nodes of an earlier version see upstream-failed, since they would answer an unknown reason with 503.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -199,6 +200,27 @@
 	NotRun     refuser.NotRun `json:"not-run"`
 	RetryAfter time.Duration  `json:"retry-after,omitempty"`
 	Detail     string         `json:"detail,omitempty"`
+	// Cause is the reason itself where Reason is one that nodes of earlier versions know: they take a reason that they don't
+	// know for the promise that the request was not run.
+	Cause refuser.Reason `json:"cause,omitempty"`
+}
+
+func newWireRefusal(refusal *refuser.Refusal) wireRefusal {
+	wire := wireRefusal{
+		Reason: refusal.Reason, NotRun: refusal.NotRun, RetryAfter: refusal.RetryAfter, Detail: refusal.Detail,
+	}
+	if refusal.Reason == refuser.ReasonAnswerMemory {
+		wire.Reason, wire.Cause = refuser.ReasonUpstreamFailed, refusal.Reason
+	}
+	return wire
+}
+
+func (w *wireRefusal) refusal() *refuser.Refusal {
+	reason := w.Reason
+	if slices.Contains(refuser.Reasons(), w.Cause) {
+		reason = w.Cause
+	}
+	return &refuser.Refusal{Reason: reason, NotRun: w.NotRun, RetryAfter: w.RetryAfter, Detail: w.Detail}
 }
 
 // WriteOutcome writes the outcome of the attempt into the headers of resp, for the peer that sent the attempt. If the
@@ -208,7 +230,7 @@
 		resp.Reset()
 		resp.SetStatusCode(outcome.Refusal.Status())
 		// The fields are plain strings and numbers, which always encode.
-		refusal, _ := json.Marshal(wireRefusal(*outcome.Refusal))
+		refusal, _ := json.Marshal(newWireRefusal(outcome.Refusal))
 		resp.Header.SetBytesV(headerRefusal, refusal)
 	}
 	if outcome.Arrived {
@@ -272,9 +294,8 @@
 		if err := json.Unmarshal(refusal, &wire); err != nil {
 			return Outcome{}, false
 		}
-		typed := refuser.Refusal(wire)
-		outcome.Refusal = &typed
-		outcome.Lost = a.Idempotent && !typed.IsNotRun()
+		outcome.Refusal = wire.refusal()
+		outcome.Lost = a.Idempotent && !outcome.Refusal.IsNotRun()
 	}
 	RemoveOutcome(resp)
 	return outcome, true
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -177,6 +177,11 @@
 		c.counter.Event("overdue_connections")
 		c.peer(to.Peer).pool.CloseIdle()
 	}
+	if errors.Is(err, forwarder.ErrNoMemory) {
+		c.counter.Event("answers_given_up")
+		// The answer was on its way, so that a query would bring it again.
+		return lostOutcome(a, err)
+	}
 	if a.Idempotent {
 		return lostOutcome(a, err)
 	}
@@ -192,6 +197,9 @@
 	if errors.Is(err, forwarder.ErrCancelled) {
 		reason = refuser.ReasonCancelled
 	}
+	if errors.Is(err, forwarder.ErrNoMemory) {
+		reason = refuser.ReasonAnswerMemory
+	}
 	return Outcome{Arrived: true, Lost: a.Idempotent, Refusal: refuser.NewPossiblyRun(reason, err.Error())}
 }
 
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -232,6 +232,9 @@
 		// A process can write such bytes as it crashes.
 		e.reportLoss(ctx, x)
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer is malformed")
+	case errors.Is(err, forwarder.ErrNoMemory):
+		e.Meter.Event("answers_given_up")
+		return refuser.NewPossiblyRun(refuser.ReasonAnswerMemory, "the node has no memory for the upstream's answer")
 	case errors.Is(err, forwarder.ErrNoLength):
 		return refuser.NewPossiblyRun(refuser.ReasonUpstreamFailed, "the upstream's answer has no length")
 	default:
--- a/internal/forwarder/agreement_test.go
+++ b/internal/forwarder/agreement_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
@@ -19,11 +21,12 @@
 
 // readWire reads a response from the bytes, which end with the stream.
 func readWire(wire []byte) (*fasthttp.Response, error) {
-	p := &Pool{maxBody: endlessMaxBody, acceptNoLength: true}
+	p := New(netip.AddrPort{}, timekeeper.System{}, WithMaxBody(endlessMaxBody), AcceptNoLength())
 	c := newConn(wiretester.NewConn(wire), time.Time{})
 	c.limited.remaining = endlessAllowance
 	x := &Exchange{Request: &fasthttp.Request{}, Response: &fasthttp.Response{}}
-	return x.Response, p.readResponse(c, x)
+	_, err := p.readResponse(c, x)
+	return x.Response, err
 }
 
 // FuzzSecondReaderAgrees checks that another HTTP implementation reads each response that is taken, and what is passed on of
--- /dev/null
+++ b/internal/forwarder/body.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"io"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
+	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
+)
+
+// readBody reads the body of the response whose header has been read, and drops its trailer. It returns the memory that the
+// body occupies, which is nil for a small one. A body that fails occupies none.
+func (p *Pool) readBody(c *conn, resp *fasthttp.Response) (*budgeter.Holding, error) {
+	length := resp.Header.ContentLength()
+	if length > p.maxBody {
+		return nil, ErrTooLong
+	}
+	b := newBodyReader(c, resp.SwapBody(nil), length, p.maxBody, p.memory)
+	err := b.readAll(bodySource(c, length))
+	if err == nil && length == chunkedLength {
+		err = headchecker.DropTrailer(c.reader)
+	}
+	var body []byte
+	if err == nil {
+		body, err = b.join()
+	}
+	if !b.holding.Keep() {
+		err = ErrNoMemory
+	}
+	if err != nil {
+		b.freeBlocks()
+		b.holding.Release()
+		return nil, c.parseError(err)
+	}
+	resp.SwapBody(body)
+	if length == noLength {
+		resp.Header.SetContentLength(len(body))
+	}
+	return b.holding, nil
+}
+
+// bodySource returns a reader that ends with the body. If the stream ends before the body, the reader's error is
+// io.ErrUnexpectedEOF, except for a body of a given length.
+func bodySource(c *conn, length int) io.Reader {
+	switch length {
+	case chunkedLength:
+		return httputil.NewChunkedReader(c.reader)
+	case noLength:
+		return c.reader
+	default:
+		return io.LimitReader(c.reader, int64(length))
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/dialer"
 	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
@@ -39,6 +41,9 @@
 	ErrTimeout = merry.Sentinel("deadline passed")
 	// ErrTooLong means that the response exceeded a size limit or had too many interim responses before it.
 	ErrTooLong = merry.Sentinel("answer too long")
+	// ErrNoMemory means that the response was given up because the bodies of responses occupy all the memory that they may. The
+	// request may have run.
+	ErrNoMemory = merry.Sentinel("no memory for the answer")
 	// ErrNoLength means that the response body had no length and the pool was not created with AcceptNoLength.
 	ErrNoLength = merry.Sentinel("answer without a length")
 )
@@ -61,6 +66,7 @@
 	dial           dialer.DialFunc
 	maxAge         time.Duration
 	maxBody        int
+	memory         *budgeter.Memory
 	maxIdleTime    time.Duration
 	acceptNoLength bool
 
@@ -82,6 +88,12 @@
 	return func(p *Pool) { p.maxBody = limit }
 }
 
+// WithMemory limits the memory of response bodies together with that of all pools that share it. The body of a response that is
+// returned occupies memory until the budgeter.Scope of the context is closed, or not at all without one.
+func WithMemory(memory *budgeter.Memory) Option {
+	return func(p *Pool) { p.memory = memory }
+}
+
 // WithMaxIdleTime limits how long a connection may have been idle before it is reused.
 func WithMaxIdleTime(limit time.Duration) Option {
 	return func(p *Pool) { p.maxIdleTime = limit }
@@ -102,6 +114,7 @@
 		maxAge:      DefaultMaxAge,
 		maxBody:     DefaultMaxBody,
 		maxIdleTime: DefaultMaxIdleTime,
+		memory:      budgeter.NewMemory(math.MaxInt),
 	}
 	for _, option := range options {
 		option(p)
@@ -154,7 +167,7 @@
 		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 		defer stop()
 	}
-	if err := p.roundTrip(c, x, now); err != nil {
+	if err := p.roundTrip(ctx, c, x, now); err != nil {
 		_ = c.Close()
 		return p.classify(ctx, err)
 	}
@@ -167,7 +180,7 @@
 	return nil
 }
 
-func (p *Pool) roundTrip(c *conn, x *Exchange, now time.Time) error {
+func (p *Pool) roundTrip(ctx context.Context, c *conn, x *Exchange, now time.Time) error {
 	c.limited.remaining, c.limited.err = 2*p.maxBody+maxOverhead, nil
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		return err
@@ -181,7 +194,7 @@
 	if err := p.awaitFirstByte(c, x, now); err != nil {
 		return err
 	}
-	return p.readMatchingResponse(c, x)
+	return p.readMatchingResponse(ctx, c, x)
 }
 
 // classify wraps an error of an exchange in the sentinel error for it, with the pool's address.
@@ -193,7 +206,7 @@
 		return fmt.Errorf("%w: %s", ErrTooLong, p.address)
 	case errors.Is(err, headchecker.ErrMalformed):
 		return fmt.Errorf("%w: %s: %w", ErrMalformed, p.address, err)
-	case errors.Is(err, ErrOverdue), errors.Is(err, ErrNoLength), errors.Is(err, ErrForeign):
+	case errors.Is(err, ErrOverdue), errors.Is(err, ErrNoLength), errors.Is(err, ErrNoMemory), errors.Is(err, ErrForeign):
 		return fmt.Errorf("%s: %w", p.address, err)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return fmt.Errorf("%w: %s", ErrTimeout, p.address)
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -9,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/headchecker"
 )
 
@@ -29,14 +31,17 @@
 
 // readMatchingResponse reads responses until Accept takes one that is no unproven rejection. It returns ErrForeign if
 // a rejected response closes the connection, or after maxForeignResponses rejected responses.
-func (p *Pool) readMatchingResponse(c *conn, x *Exchange) error {
+func (p *Pool) readMatchingResponse(ctx context.Context, c *conn, x *Exchange) error {
 	for range maxForeignResponses {
-		if err := p.readResponse(c, x); err != nil {
+		holding, err := p.readResponse(c, x)
+		if err != nil {
 			return err
 		}
 		if (x.Accept == nil || x.Accept(&x.Response.Header)) && !c.isUnproven(x) {
+			holding.ReleaseWith(ctx)
 			return nil
 		}
+		holding.Release()
 		if x.Response.ConnectionClose() {
 			return ErrForeign
 		}
@@ -46,27 +51,20 @@
 }
 
 // readResponse reads one whole response. Its trailer is read and dropped. Without AcceptNoLength, a body that ends with the
-// stream is an error, because a truncated body could not be detected.
-func (p *Pool) readResponse(c *conn, x *Exchange) error {
+// stream is an error, because a truncated body could not be detected. It returns the memory that the body occupies.
+func (p *Pool) readResponse(c *conn, x *Exchange) (*budgeter.Holding, error) {
 	header := &x.Response.Header
 	if err := readFinalHeader(c, header); err != nil {
-		return err
+		return nil, err
 	}
 	x.Response.SkipBody = x.Request.Header.IsHead() || hasNoBody(header.StatusCode())
 	if x.Response.SkipBody {
-		return nil
-	}
-	contentLength := header.ContentLength()
-	if contentLength == noLength && !p.acceptNoLength {
-		return ErrNoLength
-	}
-	if err := x.Response.ReadBody(c.reader, p.maxBody); err != nil {
-		return c.parseError(err)
+		return nil, nil
 	}
-	if contentLength == chunkedLength {
-		return c.parseError(headchecker.DropTrailer(c.reader))
+	if header.ContentLength() == noLength && !p.acceptNoLength {
+		return nil, ErrNoLength
 	}
-	return nil
+	return p.readBody(c, x.Response)
 }
 
 // readFinalHeader reads the header of a final response and skips the interim (1xx) responses before it.
@@ -91,7 +89,7 @@
 // parseError returns an error that wraps headchecker.ErrMalformed for an error of the HTTP library that no failed read and no
 // limit has caused, since the bytes themselves are at fault then. It returns other errors as they are.
 func (c *conn) parseError(err error) error {
-	if err == nil || c.limited.err != nil || errors.Is(err, headchecker.ErrMalformed) || isTooLong(err) {
+	if err == nil || c.limited.err != nil || errors.Is(err, headchecker.ErrMalformed) || errors.Is(err, ErrNoMemory) || isTooLong(err) {
 		return err
 	}
 	text := err.Error()
@@ -101,7 +99,7 @@
 // isTooLong reports whether a response exceeds a limit: on its bytes, on its body, or the read buffer for its head.
 func isTooLong(err error) bool {
 	var small *fasthttp.ErrSmallBuffer
-	return errors.Is(err, ErrTooLong) || errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, bufio.ErrBufferFull) || errors.As(err, &small)
+	return errors.Is(err, ErrTooLong) || errors.Is(err, bufio.ErrBufferFull) || errors.As(err, &small)
 }
 
 // hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 )
 
@@ -72,6 +73,8 @@
 	done bool
 	// closeAfter is set when the connection is closed after the response.
 	closeAfter bool
+	// scope holds the memory of the responses that the handler receives for the request, until its own response is written.
+	scope budgeter.Scope
 	// concurrent is set when the request may run at the same time as those before it: for GET and HEAD.
 	concurrent bool
 }
--- a/internal/listener/response.go
+++ b/internal/listener/response.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 )
 
 // takeStartable returns the exchanges that are to be started now and marks them as started: the first in the queue,
@@ -31,7 +33,7 @@
 func (c *conn) start(exchanges []*exchange) {
 	for _, x := range exchanges {
 		go func() {
-			c.listener.Handle(c.ctx, x.request, x.response)
+			c.listener.Handle(budgeter.WithScope(c.ctx, &x.scope), x.request, x.response)
 			c.mu.Lock()
 			x.done = true
 			c.mu.Unlock()
@@ -73,6 +75,7 @@
 	x.response.SkipBody = x.request.Header.IsHead()
 	c.mu.Unlock()
 	err := c.writeResponse(writer, x.response)
+	x.scope.Close()
 	c.mu.Lock()
 	defer c.dequeued.Broadcast()
 	if err != nil {
@@ -106,5 +109,8 @@
 	if !c.aborted {
 		c.reportQueue(cause)
 	}
+	for _, x := range c.queue {
+		x.scope.Close()
+	}
 	c.queue = nil
 }
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -15,6 +15,7 @@
 
 // The reasons for which a request is refused.
 const (
+	ReasonAnswerMemory   Reason = "answer-memory" // The answers that the node holds leave no memory for the upstream's.
 	ReasonBodyTooLarge   Reason = "body-too-large"
 	ReasonBusy           Reason = "busy"      // The attempt is optional and can't start at once.
 	ReasonCancelled      Reason = "cancelled" // The caller has disconnected, or the attempt was cancelled.
@@ -42,7 +43,7 @@
 // Reasons returns all reasons in alphabetical order.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBadRequest, ReasonBodyTooLarge, ReasonBusy, ReasonCancelled, ReasonDeadline, ReasonDraining,
+		ReasonAnswerMemory, ReasonBadRequest, ReasonBodyTooLarge, ReasonBusy, ReasonCancelled, ReasonDeadline, ReasonDraining,
 		ReasonHeaderTooLarge, ReasonKeyReused, ReasonNoDocument, ReasonNoRoute, ReasonNoUpstream,
 		ReasonOutcomeUnknown, ReasonPoison, ReasonQuarantined, ReasonQueueFull, ReasonRequestTimeout,
 		ReasonRetryBudget, ReasonShed, ReasonUnauthorized, ReasonUpstreamFailed, ReasonUpstreamLost, ReasonRateLimit,
@@ -121,7 +122,7 @@
 			return fasthttp.StatusServiceUnavailable
 		}
 		return fasthttp.StatusBadGateway
-	case ReasonOutcomeUnknown, ReasonUpstreamFailed, ReasonUpstreamLost:
+	case ReasonAnswerMemory, ReasonOutcomeUnknown, ReasonUpstreamFailed, ReasonUpstreamLost:
 		return fasthttp.StatusBadGateway
 	default:
 		return fasthttp.StatusServiceUnavailable
--- a/internal/relayer/admin.go
+++ b/internal/relayer/admin.go
@@ -68,6 +68,7 @@
 	n.meter.Gauge("document_version", func() float64 { return float64(n.documentVersion()) })
 	n.meter.Gauge("register_revision", func() float64 { return float64(n.revision()) })
 	n.meter.Gauge("replica_disk_failed_seconds", n.register.diskFailedSeconds)
+	n.meter.Gauge("answer_memory_bytes", func() float64 { return float64(n.answerMemory.Used()) })
 	n.meter.Gauge("live_members", func() float64 { return float64(len(n.livePeers()) + 1) })
 	n.meter.Gauge("upstream_rate_limit", func() float64 { return n.executor.Status().RateLimit })
 	n.meter.Gauge("upstream_rate_limit_use", func() float64 { return n.executor.Status().RateLimitUse })
--- a/internal/relayer/export_test.go
+++ b/internal/relayer/export_test.go
@@ -9,3 +9,8 @@
 func (n *Node) Activate(document *validator.Document, revision uint64) {
 	n.activate(document, &replicator.Value{Revision: revision})
 }
+
+// AnswerMemoryUsed returns how many bytes the bodies of answers occupy.
+func (n *Node) AnswerMemoryUsed() int {
+	return n.answerMemory.Used()
+}
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -69,7 +69,9 @@
 	log      *logger.Component
 
 	administrator *administrator.Administrator
-	activateMu    sync.Mutex
+	// answerMemory holds the bodies of the answers that are received or written.
+	answerMemory *budgeter.Memory
+	activateMu   sync.Mutex
 	// parseMu is held while a value of the register is parsed and put in force.
 	parseMu       sync.Mutex
 	bindingBudget *budgeter.Bytes
@@ -135,7 +137,10 @@
 	n.parseDocument = validator.Parse
 	n.network = systemNetwork{}
 	n.policy = router.Weighted{}
-	n.peerOptions = []forwarder.Option{forwarder.WithMaxBody(settings.MaxBodyBytes + settings.MaxHeaderBytes)}
+	n.answerMemory = budgeter.NewMemory(settings.AnswerMemoryBytes())
+	n.peerOptions = []forwarder.Option{
+		forwarder.WithMaxBody(settings.MaxBodyBytes + settings.MaxHeaderBytes), forwarder.WithMemory(n.answerMemory),
+	}
 	for _, option := range options {
 		option(n)
 	}
@@ -147,7 +152,8 @@
 	n.quarantiner = quarantiner.New(n.clock, n.requestQuarantined)
 	n.recorder = recorder.New(n.clock)
 	n.claimTable = claimer.NewTable(n.clock)
-	n.upstream = newLocalUpstream(n.clock, n.interpreter, forwarder.WithMaxBody(settings.MaxBodyBytes), forwarder.AcceptNoLength())
+	n.upstream = newLocalUpstream(n.clock, n.interpreter,
+		forwarder.WithMaxBody(settings.MaxBodyBytes), forwarder.WithMemory(n.answerMemory), forwarder.AcceptNoLength())
 	n.router = router.New(n.clock, newRandom(), n.policy, settings.Region, settings.DataCentre)
 	if err := n.buildRegister(); err != nil {
 		return nil, err
--- a/internal/settingsreader/settings.go
+++ b/internal/settingsreader/settings.go
@@ -25,18 +25,22 @@
 
 // Defaults of optional settings, and limits of settings.
 const (
-	DefaultGCPercent         = 100
-	DefaultLogLevel          = "info"
-	DefaultLogLinesPerSecond = 150
-	DefaultMaxBodyBytes      = 4 << 20
-	DefaultMaxHeaderBytes    = 16 << 10
-	maxBodyBytesLimit        = 64 << 20
-	maxHeaderBytesLimit      = 1 << 20
-	minTokenBytes            = 16
-	maxGCPercent             = 1000
-	maxLogLinesPerSecond     = 100000
-	maxToleratedLosses       = 10
-	minHeaderBytesLimit      = 1 << 10
+	DefaultGCPercent = 100
+	// DefaultMaxAnswerMemoryBytes is the default of Settings.MaxAnswerMemoryBytes where bodies are small beside it.
+	DefaultMaxAnswerMemoryBytes = 64 << 20
+	DefaultLogLevel             = "info"
+	DefaultLogLinesPerSecond    = 150
+	DefaultMaxBodyBytes         = 4 << 20
+	DefaultMaxHeaderBytes       = 16 << 10
+	maxBodyBytesLimit           = 64 << 20
+	maxHeaderBytesLimit         = 1 << 20
+	minTokenBytes               = 16
+	maxGCPercent                = 1000
+	maxLogLinesPerSecond        = 100000
+	maxToleratedLosses          = 10
+	minHeaderBytesLimit         = 1 << 10
+	// minBodiesInMemory is how many of the largest bodies must fit into the memory for answers: one exists twice for a moment.
+	minBodiesInMemory = 3
 )
 
 // ErrInvalid is wrapped by the errors of settings that can't be read or are not valid.
@@ -68,9 +72,11 @@
 	// LogLinesPerSecond limits the lines that are logged about requests and other frequent events.
 	LogLinesPerSecond int    `json:"log-lines-per-second"`
 	LogLevel          string `json:"log-level"`
-	MaxBodyBytes      int    `json:"max-body-bytes"`
-	MaxHeaderBytes    int    `json:"max-header-bytes"`
-	Name              string `json:"name"`
+	// MaxAnswerMemoryBytes limits what the bodies of answers occupy at once; zero for the default. See AnswerMemoryBytes.
+	MaxAnswerMemoryBytes int    `json:"max-answer-memory-bytes"`
+	MaxBodyBytes         int    `json:"max-body-bytes"`
+	MaxHeaderBytes       int    `json:"max-header-bytes"`
+	Name                 string `json:"name"`
 	// PeerAddress serves HTTP requests of other nodes, such as forwarded calls.
 	PeerAddress netip.AddrPort `json:"peer-address"`
 	// PeerKeyFile holds the shared key of all nodes.
@@ -144,6 +150,14 @@
 	}
 }
 
+// AnswerMemoryBytes returns how many bytes the bodies of answers may occupy at once.
+func (s *Settings) AnswerMemoryBytes() int {
+	if s.MaxAnswerMemoryBytes != 0 {
+		return s.MaxAnswerMemoryBytes
+	}
+	return max(DefaultMaxAnswerMemoryBytes, minBodiesInMemory*s.MaxBodyBytes)
+}
+
 // invalidField returns an error that wraps ErrInvalid and names the field, its value and the reason.
 func invalidField(field string, value any, reason string) error {
 	return fmt.Errorf("%w: %s: %q: %s", ErrInvalid, field, fmt.Sprint(value), reason)
@@ -177,6 +191,9 @@
 	if s.MaxBodyBytes < 1 || s.MaxBodyBytes > maxBodyBytesLimit {
 		return invalidField("max-body-bytes", s.MaxBodyBytes, fmt.Sprintf("want 1 to %d", maxBodyBytesLimit))
 	}
+	if least := minBodiesInMemory * s.MaxBodyBytes; s.MaxAnswerMemoryBytes != 0 && s.MaxAnswerMemoryBytes < least {
+		return invalidField("max-answer-memory-bytes", s.MaxAnswerMemoryBytes, fmt.Sprintf("want %d, three times max-body-bytes, or more", least))
+	}
 	if s.MaxHeaderBytes < minHeaderBytesLimit || s.MaxHeaderBytes > maxHeaderBytesLimit {
 		return invalidField("max-header-bytes", s.MaxHeaderBytes, fmt.Sprintf("want %d to %d", minHeaderBytesLimit, maxHeaderBytesLimit))
 	}
--- a/internal/settingsreader/settings_test.go
+++ b/internal/settingsreader/settings_test.go
@@ -32,6 +32,8 @@
 		{`"peer.key"`, `""`, `peer-key-file: ""`},
 		{`"10.2.0.11:8082"`, `"elsewhere"`, `elsewhere`},
 		{`"data-folder": "data"`, `"max-body-bytes": -1`, `max-body-bytes: "-1"`},
+		{`"data-folder": "data"`, `"max-answer-memory-bytes": 4194304`, `max-answer-memory-bytes: "4194304"`},
+		{`"data-folder": "data"`, `"max-answer-memory-bytes": -1`, `max-answer-memory-bytes: "-1"`},
 		{`"name"`, `"nmae"`, `unknown field "nmae"`},
 	}
 	text, err := os.ReadFile(examplePath)
@@ -45,3 +47,18 @@
 		}
 	}
 }
+
+// TestAnswerMemoryHoldsLargestBodies checks that the default memory for answers grows with the largest body.
+func TestAnswerMemoryHoldsLargestBodies(t *testing.T) {
+	tests := []struct{ maxBody, set, want int }{
+		{DefaultMaxBodyBytes, 0, DefaultMaxAnswerMemoryBytes},
+		{maxBodyBytesLimit, 0, 3 * maxBodyBytesLimit},
+		{DefaultMaxBodyBytes, 16 << 20, 16 << 20},
+	}
+	for _, test := range tests {
+		settings := Settings{MaxBodyBytes: test.maxBody, MaxAnswerMemoryBytes: test.set}
+		if got := settings.AnswerMemoryBytes(); got != test.want {
+			t.Errorf("%+v: got %d", test, got)
+		}
+	}
+}
