Read small bodies of a known length without the accounting

Bodies up to 16 KiB are not counted, so those with a length are read straight into the response's buffer.

--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,13 +65,24 @@
 
 // BenchmarkDo measures the exchange of a request and an ordinary answer over a kept connection on loopback.
 func BenchmarkDo(b *testing.B) {
+	benchmarkDo(b, ordinaryResponse)
+}
+
+// BenchmarkDoLarge does the same with a body of a mebibyte.
+func BenchmarkDoLarge(b *testing.B) {
+	const size = 1 << 20
+	benchmarkDo(b, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)))
+}
+
+func benchmarkDo(b *testing.B, response string) {
+	wire := []byte(response)
 	address := serveConns(b, func(conn net.Conn) {
 		buffer := make([]byte, bufferBytes)
 		for {
 			if _, err := conn.Read(buffer); err != nil {
 				return
 			}
-			if _, err := conn.Write([]byte(ordinaryResponse)); err != nil {
+			if _, err := conn.Write(wire); err != nil {
 				return
 			}
 		}
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http/httputil"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 
@@ -17,6 +18,9 @@
 	if length > p.maxBody {
 		return nil, ErrTooLong
 	}
+	if 0 <= length && length <= smallBodyBytes {
+		return nil, readSmallBody(c, resp, length)
+	}
 	b := newBodyReader(c, resp.SwapBody(nil), length, p.maxBody, p.memory)
 	err := b.readAll(bodySource(c, length))
 	if err == nil && length == chunkedLength {
@@ -41,6 +45,14 @@
 	return b.holding, nil
 }
 
+// readSmallBody reads a body of the given length, which needs no room in the pool's memory.
+func readSmallBody(c *conn, resp *fasthttp.Response, length int) error {
+	body := slices.Grow(resp.SwapBody(nil)[:0], length)[:length]
+	_, err := io.ReadFull(c.reader, body)
+	resp.SwapBody(body)
+	return err
+}
+
 // bodySource returns a reader that ends with the body. If the stream ends before the body, the reader's error is
 // io.ErrUnexpectedEOF, except for a body of a given length.
 func bodySource(c *conn, length int) io.Reader {
--- a/internal/forwarder/bodyreader.go
+++ b/internal/forwarder/bodyreader.go
@@ -91,14 +91,15 @@
 	return b.blocks[len(b.blocks)-1][used:], nil
 }
 
-// growFirst grows the first buffer if it is full and can grow: to the whole body if that is small, and otherwise twofold.
+// growFirst grows the first buffer if it is full and can grow: at once for a body that is known to be large, and otherwise
+// twofold.
 func (b *bodyReader) growFirst() {
 	if len(b.first) < cap(b.first) || cap(b.first) == smallBodyBytes {
 		return
 	}
 	size := min(max(2*cap(b.first), minBodyBuffer), smallBodyBytes)
-	if b.length >= 0 {
-		size = min(b.length, smallBodyBytes)
+	if b.length > smallBodyBytes {
+		size = smallBodyBytes
 	}
 	grown := make([]byte, len(b.first), size)
 	copy(grown, b.first)
