One copy each: servers of tests, live members, reasons of losses

wiretester.ServeConns replaces three copies of the same accept loop in tests; Node.livePeers goes through register.LiveMembers, which walked the members by the same condition; carrier.lossReason replaces a chain of ifs.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -190,17 +190,21 @@
 }
 
 func lostOutcome(a *Attempt, err error) Outcome {
-	reason := refuser.ReasonUpstreamLost
-	if errors.Is(err, forwarder.ErrTimeout) {
-		reason = refuser.ReasonDeadline
-	}
-	if errors.Is(err, forwarder.ErrCancelled) {
-		reason = refuser.ReasonCancelled
-	}
-	if errors.Is(err, forwarder.ErrNoMemory) {
-		reason = refuser.ReasonAnswerMemory
+	return Outcome{Arrived: true, Lost: a.Idempotent, Refusal: refuser.NewPossiblyRun(lossReason(err), err.Error())}
+}
+
+// lossReason returns the reason for which an attempt that ended with the error of its connection has no answer.
+func lossReason(err error) refuser.Reason {
+	switch {
+	case errors.Is(err, forwarder.ErrTimeout):
+		return refuser.ReasonDeadline
+	case errors.Is(err, forwarder.ErrCancelled):
+		return refuser.ReasonCancelled
+	case errors.Is(err, forwarder.ErrNoMemory):
+		return refuser.ReasonAnswerMemory
+	default:
+		return refuser.ReasonUpstreamLost
 	}
-	return Outcome{Arrived: true, Lost: a.Idempotent, Refusal: refuser.NewPossiblyRun(reason, err.Error())}
 }
 
 // resolveRequest is a query to a node about the state of an attempt.
--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
 // BenchmarkLoopbackEcho measures the round trip of one byte over loopback when both ends block between requests, at an
@@ -76,7 +77,7 @@
 
 func benchmarkDo(b *testing.B, response string) {
 	wire := []byte(response)
-	address := serveConns(b, func(conn net.Conn) {
+	address := wiretester.ServeConns(b, func(conn net.Conn) {
 		buffer := make([]byte, bufferBytes)
 		for {
 			if _, err := conn.Read(buffer); err != nil {
--- a/internal/forwarder/cut_response_test.go
+++ b/internal/forwarder/cut_response_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
 // cutServer answers each request with the bytes that its body asks for and ends the connection.
@@ -69,7 +70,7 @@
 		"reset, bytewise":  {end: resetConn, bytewise: true},
 	}
 	for how, server := range servers {
-		address := serveConns(t, server.serveConn)
+		address := wiretester.ServeConns(t, server.serveConn)
 		for _, accepts := range []bool{false, true} {
 			var options []Option
 			if accepts {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
 // serveRaw answers each request with the given bytes and then calls afterResponse. It returns the address and a
@@ -19,7 +20,7 @@
 func serveRaw(t *testing.T, response string, afterResponse func(net.Conn)) (netip.AddrPort, func() int) {
 	t.Helper()
 	connections := make(chan struct{}, 100)
-	address := serveConns(t, func(conn net.Conn) {
+	address := wiretester.ServeConns(t, func(conn net.Conn) {
 		connections <- struct{}{}
 		var req fasthttp.Request
 		reader := bufio.NewReader(conn)
@@ -31,26 +32,6 @@
 	return address, func() int { return len(connections) }
 }
 
-// serveConns accepts connections, calls serve with each and returns the address.
-func serveConns(tb testing.TB, serve func(conn net.Conn)) netip.AddrPort {
-	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // doRequest sends one request and accepts any response.
 func doRequest(p *Pool, timeout time.Duration) (*fasthttp.Response, error) {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -12,7 +12,7 @@
 // the status, the fields or the body that the HTTP library makes of them.
 func TestMalformedResponseIsNoAnswer(t *testing.T) {
 	server := &cutServer{end: closeConn}
-	pool := New(serveConns(t, server.serveConn), timekeeper.System{}, AcceptNoLength())
+	pool := New(wiretester.ServeConns(t, server.serveConn), timekeeper.System{}, AcceptNoLength())
 	for _, c := range wiretester.Responses(t) {
 		t.Run(c.Name, func(t *testing.T) {
 			resp, err := sendCut(pool, c.Wire)
--- a/internal/forwarder/memory_test.go
+++ b/internal/forwarder/memory_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
 const (
@@ -33,7 +34,7 @@
 func serveStalled(t *testing.T, framing string) *Pool {
 	t.Helper()
 	beginning := []byte("HTTP/1.1 200 OK\r\n" + framing + strings.Repeat("x", stalledBytes))
-	address := serveConns(t, func(conn net.Conn) {
+	address := wiretester.ServeConns(t, func(conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		buffer := make([]byte, bufferBytes)
 		if _, err := conn.Read(buffer); err != nil {
--- a/internal/relayer/cancel_test.go
+++ b/internal/relayer/cancel_test.go
@@ -12,30 +12,18 @@
 
 	"github.com/marigoldrelay/marigoldrelay/internal/demonstrator"
 	"github.com/marigoldrelay/marigoldrelay/internal/responder"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // startRawUpstream announces an upstream to the node and serves each of its connections with serve.
 func startRawUpstream(t *testing.T, node netip.AddrPort, instance string, serve func(conn net.Conn)) {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = socket.Close() })
-	go func() {
-		for {
-			conn, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	address := wiretester.ServeConns(t, serve)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go announcer.New(node, announcer.Announcement{
-		Address: socket.Addr().String(), Instance: instance, Service: "entries", Slots: 4, State: announcer.StateReady,
+		Address: address.String(), Instance: instance, Service: "entries", Slots: 4, State: announcer.StateReady,
 	}).Run(ctx)
 }
 
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -323,10 +323,8 @@
 // livePeers returns the control addresses of the other members that are alive or suspect.
 func (n *Node) livePeers() []netip.AddrPort {
 	var live []netip.AddrPort
-	for _, m := range n.gossiper.Members() {
-		if m.Name != n.settings.Name && m.Status <= gossiper.StatusSuspect {
-			live = append(live, m.Control)
-		}
+	for _, m := range n.register.LiveMembers() {
+		live = append(live, m.Control)
 	}
 	return live
 }
--- a/internal/wiretester/server.go
+++ b/internal/wiretester/server.go
@@ -14,6 +14,17 @@
 
 // Serve answers the first request of each connection with the bytes of wire and closes it. It returns the address.
 func Serve(tb testing.TB, wire string) netip.AddrPort {
+	tb.Helper()
+	return ServeConns(tb, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, maxRequestBytes))
+		_, _ = conn.Write([]byte(wire))
+		_ = conn.Close()
+	})
+}
+
+// ServeConns accepts connections on loopback until the test ends, and calls serve with each in a goroutine of its own. It
+// returns the address.
+func ServeConns(tb testing.TB, serve func(conn net.Conn)) netip.AddrPort {
 	tb.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,9 +37,7 @@
 			if err != nil {
 				return
 			}
-			_, _ = conn.Read(make([]byte, maxRequestBytes))
-			_, _ = conn.Write([]byte(wire))
-			_ = conn.Close()
+			go serve(conn)
 		}
 	}()
 	return netip.MustParseAddrPort(socket.Addr().String())
