--- a/internal/relayer/answermemory_test.go
+++ b/internal/relayer/answermemory_test.go
@@ -1,10 +1,8 @@
 package relayer_test
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -22,24 +20,13 @@
 	largeAnswerBytes = 700 << 10
 )
 
-// serveSized answers each request with a body of a kilobyte, or of largeAnswerBytes if the request has a body.
-func serveSized(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for {
-		var req fasthttp.Request
-		if req.Read(reader) != nil {
-			return
-		}
-		size := 1 << 10
-		if len(req.Body()) > 0 {
-			size = largeAnswerBytes
-		}
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
-		if _, err := conn.Write([]byte(answer)); err != nil {
-			return
-		}
+// answerSized returns an answer with a body of a kilobyte, or of largeAnswerBytes if the request has a body.
+func answerSized(req *fasthttp.Request) string {
+	size := 1 << 10
+	if len(req.Body()) > 0 {
+		size = largeAnswerBytes
 	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
 }
 
 // TestAnswerWithoutMemoryFails guards against an answer that has no room and that is told as anything but a failure of its own:
@@ -56,7 +43,7 @@
 			if err := c.StartNode(limited); err != nil {
 				t.Fatal(err)
 			}
-			startRawUpstream(t, target.Settings.AnnounceAddress, "sized", serveSized)
+			startRawUpstream(t, target.Settings.AnnounceAddress, "sized", serveAnswers(answerSized))
 			awaitServing(t, c.Deployment, 1)
 			client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
 			for range 10 {
--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -47,17 +47,19 @@
 	}
 }
 
-// serveMalformed answers each request with a status that is none.
-func serveMalformed(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for {
-		var req fasthttp.Request
-		if req.Read(reader) != nil {
-			return
-		}
-		if _, err := conn.Write([]byte("HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nno")); err != nil {
-			return
+// serveAnswers returns a function that answers the requests on a connection with the bytes that answer returns.
+func serveAnswers(answer func(req *fasthttp.Request) string) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for {
+			var req fasthttp.Request
+			if req.Read(reader) != nil {
+				return
+			}
+			if _, err := conn.Write([]byte(answer(&req))); err != nil {
+				return
+			}
 		}
 	}
 }
@@ -86,7 +88,9 @@
 		call()
 	}
 	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "malformed"})
-	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveMalformed)
+	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveAnswers(func(*fasthttp.Request) string {
+		return wiretester.MalformedAnswer
+	}))
 	awaitServing(t, c.Deployment, 2)
 	malformed := func() uint64 { return target.Node.Meter().EventCount("malformed_answers") }
 	for calls := 0; calls < maxCalls && malformed() < malformedAnswers; calls++ {
