Remove error branches that the check of heads has made dead

The head and the trailer are whole in the read buffer before the HTTP library parses them, so that it can't find the buffer too small or time out: waiting happens in headchecker, whose errors are bufio.ErrBufferFull and those of the connection. Chunks are read by the standard library since the limit on memory, which passes the connection's errors on too. No behaviour differs; TestEndlessResponse, TestErrorsOfReading and TestTimedOutConnectionIsNotReused cover the cases.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -208,7 +208,7 @@
 		return fmt.Errorf("%w: %s: %w", ErrMalformed, p.address, err)
 	case errors.Is(err, ErrOverdue), errors.Is(err, ErrNoLength), errors.Is(err, ErrNoMemory), errors.Is(err, ErrForeign):
 		return fmt.Errorf("%s: %w", p.address, err)
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fmt.Errorf("%w: %s", ErrTimeout, p.address)
 	default:
 		return fmt.Errorf("%w: %s: %w", ErrLost, p.address, err)
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -98,8 +98,7 @@
 
 // isTooLong reports whether a response exceeds a limit: on its bytes, on its body, or the read buffer for its head.
 func isTooLong(err error) bool {
-	var small *fasthttp.ErrSmallBuffer
-	return errors.Is(err, ErrTooLong) || errors.Is(err, bufio.ErrBufferFull) || errors.As(err, &small)
+	return errors.Is(err, ErrTooLong) || errors.Is(err, bufio.ErrBufferFull)
 }
 
 // hasNoBody reports whether responses with the status never have a body (RFC 9110, section 6.4.1).
