Let the buffers of a reader go when its body is whole

The function that gives a body up referred to the reader, and is kept with the body's memory until the answer is written: 16 KiB a large answer that nothing counted. It refers to the connection alone.

--- a/internal/forwarder/bodyreader.go
+++ b/internal/forwarder/bodyreader.go
@@ -144,7 +144,9 @@
 // occupy records the bytes that the body occupies. It reports false if there is no room for them.
 func (b *bodyReader) occupy(bytes int) bool {
 	if b.holding == nil {
-		b.holding = b.memory.Begin(func() { _ = b.conn.Close() })
+		// The function outlives the reader, so that it must not refer to its buffers.
+		c := b.conn
+		b.holding = b.memory.Begin(func() { _ = c.Close() })
 	}
 	return b.holding.Resize(bytes)
 }
