Tests: stand-ins of malformed answers close no connection unannounced

Seen once in the whole script beside four busy processes, on: three well-formed cases of TestMalformedResponseIsNoAnswer ended with a reset. Traced: the stand-in closed a kept connection after its answer, and the pool used it before the end of the stream had arrived; all three follow a well-formed case. Each request has its own connection, and the two-node stand-in keeps connections open. The assertions are as they were.

--- a/internal/forwarder/cut_response_test.go
+++ b/internal/forwarder/cut_response_test.go
@@ -106,12 +106,14 @@
 	return len(response)
 }
 
-// sendCut sends a request that asks for the given response.
+// sendCut sends a request that asks for the given response, on a new connection, since the server closes each unannounced.
 func sendCut(pool *Pool, response string) (*fasthttp.Response, error) {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	req.SetRequestURI("/")
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetHost("test")
 	req.SetBodyString(response)
-	return resp, pool.Do(context.Background(), &Exchange{Deadline: time.Now().Add(30 * time.Second), Request: req, Response: resp})
+	return resp, pool.Do(context.Background(), &Exchange{
+		Deadline: time.Now().Add(30 * time.Second), NewConnection: true, Request: req, Response: resp,
+	})
 }
--- a/internal/relayer/malformed_test.go
+++ b/internal/relayer/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"testing"
 	"time"
@@ -13,13 +14,29 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 )
 
+// serveEcho answers requests with the bytes of their bodies. It closes the connection only behind an answer that says so, since
+// a node could use one that is closed unannounced for the next request.
+func serveEcho(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		var req fasthttp.Request
+		if req.Read(reader) != nil {
+			return
+		}
+		if _, err := conn.Write(req.Body()); err != nil || bytes.Contains(req.Body(), []byte("Connection: close")) {
+			return
+		}
+	}
+}
+
 // TestMalformedAnswerReachesNoCaller guards against bytes of an upstream that are no response in the protocol and that reach
 // the caller of another node as an answer. The callers' requests are not idempotent, so that each must get a 502. The node
 // beside the upstream must count each.
 func TestMalformedAnswerReachesNoCaller(t *testing.T) {
 	c := newTestCluster(t, 0, responder.Behaviour{})
 	target := addNode(t, c.Deployment, demonstrator.NodeSpec{DataCentre: "flacq", Name: "target"})
-	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveCut)
+	startRawUpstream(t, target.Settings.AnnounceAddress, "malformed", serveEcho)
 	awaitServing(t, c.Deployment, 1)
 	client := &fasthttp.HostClient{Addr: c.entry.Settings.CallerAddress.String()}
 	malformed := uint64(0)
