Review: an acknowledged leave is forgotten when all processes are killed

An instance has been told that its leaving is acknowledged; all processes are killed and start again; a heartbeat that it had sent before arrives late and is believed for a lease of 7.5 s, so that the instance gets requests again and what it runs when it exits is lost. The acknowledgement lives in the memory of processes alone.

--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -160,6 +159,22 @@
 	return nil
 }
 
+// restartAll kills all processes at the same moment, and starts them again after a time.
+func (d *deployment) restartAll(after time.Duration) error {
+	d.kill()
+	d.record.line("all processes were killed")
+	time.Sleep(after)
+	for _, m := range d.machines {
+		if err := m.writeSettings(false); err != nil {
+			return err
+		}
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startAll writes the settings of the first start and starts every machine.
 func (d *deployment) startAll() error {
 	for _, m := range d.machines {
@@ -177,12 +192,17 @@
 func (d *deployment) kill() {
 	for _, m := range d.machines {
 		m.mu.Lock()
-		process := m.process
+		if m.process != nil {
+			_ = m.process.Process.Kill()
+		}
+		m.mu.Unlock()
+	}
+	for _, m := range d.machines {
+		m.mu.Lock()
+		ended := m.ended
 		m.mu.Unlock()
-		if process != nil {
-			_ = process.Process.Signal(syscall.SIGCONT)
-			_ = process.Process.Kill()
-			<-m.ended
+		if ended != nil {
+			<-ended
 		}
 	}
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 
 var plays = map[string]play{
 	"foreign-service": playForeignService,
+	"forgotten-leave": playForgottenLeave,
 	"late-extra":      playLateExtra,
 	"missing-field":   playMissingField,
 	"own-refusal":     playOwnRefusal,
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -107,6 +107,7 @@
 
 // run is one request that an instance has begun to work on.
 type run struct {
+	at                       time.Time
 	caller, id, method, path string
 }
 
@@ -125,6 +126,7 @@
 	stop   chan struct{}
 
 	mu       sync.Mutex
+	leaving  bool
 	runs     []run
 	sequence int
 }
@@ -166,6 +168,9 @@
 	w.Header().Set("X-Marigoldrelay-Server-Load", "0,0,12,100")
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Marigoldrelay-Instance-Id", i.id)
+		if i.isLeaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -190,6 +195,7 @@
 func (i *instance) note(one run) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	one.at = time.Now()
 	i.runs = append(i.runs, one)
 	i.record.line("instance %s of %s: runs %s %s %s, caller %q", i.id, i.service, one.id, one.method, one.path, one.caller)
 }
@@ -201,13 +207,17 @@
 	return append([]run(nil), i.runs...)
 }
 
-// beat sends one heartbeat.
-func (i *instance) beat() {
+// beat sends one heartbeat, which arrives late by the given time.
+func (i *instance) beat(late time.Duration) {
 	i.mu.Lock()
 	i.sequence++
 	sequence := i.sequence
 	i.mu.Unlock()
 	body := heartbeat(i.address, i.service, i.zone, i.born, sequence)
+	if late > 0 {
+		i.record.line("instance %s of %s: heartbeat %d is sent and will arrive %s late", i.id, i.service, sequence, late)
+		time.Sleep(late)
+	}
 	status, _, _ := call("PUT", "http://"+i.control+"/instances/"+i.id, map[string]string{"Content-Type": "application/json"}, body)
 	i.record.line("instance %s of %s: heartbeat %d: %d", i.id, i.service, sequence, status)
 }
@@ -223,12 +233,30 @@
 	return text
 }
 
-// beatAlways sends a heartbeat every one and a half seconds until the instance ends.
+// leave tells the node that the instance leaves, and returns the status of the answer. From then on its health check fails.
+func (i *instance) leave() int {
+	i.mu.Lock()
+	i.leaving = true
+	i.mu.Unlock()
+	// The value is plain, so that it always encodes.
+	body, _ := json.Marshal(map[string]any{"born": i.born})
+	status, _, _ := call("DELETE", "http://"+i.control+"/instances/"+i.id, map[string]string{"Content-Type": "application/json"}, body)
+	i.record.line("instance %s of %s: DELETE: %d", i.id, i.service, status)
+	return status
+}
+
+func (i *instance) isLeaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
+// beatAlways sends a heartbeat every one and a half seconds until the instance leaves or ends.
 func (i *instance) beatAlways() {
 	ticker := time.NewTicker(1500 * time.Millisecond)
 	defer ticker.Stop()
-	for {
-		i.beat()
+	for !i.isLeaving() {
+		i.beat(0)
 		select {
 		case <-i.stop:
 			return
