Review: the names of the platform's wire are data

TestWireNamesOnlyInThisPackage failed in the whole script: Go files beside platform/ may not contain them. review/rig reads them from wire.json and two templates now, as review/standin does.

--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -25,7 +25,7 @@
 func (m *machine) send(method, path string, deadline int, body string) sent {
 	s := sent{id: newID()}
 	header := map[string]string{
-		"Host": host, "X-Marigoldrelay-Request-Id": s.id, "X-Marigoldrelay-Deadline-Ms": fmt.Sprint(deadline),
+		"Host": host, wire.RequestID: s.id, wire.Timeout: fmt.Sprint(deadline),
 	}
 	m.deployment.record.line("consumer on %s: sends %s %s %s", m.name, s.id, method, path)
 	status, answered, text := call(method, "http://"+m.at(m.deployment.ports.outbound)+path, header, []byte(body))
--- a/review/rig/foreignservice.go
+++ b/review/rig/foreignservice.go
@@ -10,9 +10,9 @@
 
 func usualRoutes() []route {
 	return []route{
-		{name: "r-unsafe", prefix: "/pufi791/", service: "huvo11a", timeout: 1.2, attempts: 2},
-		{name: "r-safe", prefix: "/lohu930/", service: "huvo11a", safe: true, timeout: 1, attempts: 2},
-		{name: "r-other", prefix: "/goxe224/", service: "wuno96b", safe: true, timeout: 2, attempts: 2},
+		{Name: "r-unsafe", Prefix: "/pufi791/", Service: "huvo11a", Timeout: 1.2, Attempts: 2},
+		{Name: "r-safe", Prefix: "/lohu930/", Service: "huvo11a", Safe: true, Timeout: 1, Attempts: 2},
+		{Name: "r-other", Prefix: "/goxe224/", Service: "wuno96b", Safe: true, Timeout: 2, Attempts: 2},
 	}
 }
 
--- a/review/rig/lateextra.go
+++ b/review/rig/lateextra.go
@@ -10,7 +10,7 @@
 
 // extraResponse is what a faulty instance sends after a complete response: its last response again, without the line that names the
 // request.
-const extraResponse = "HTTP/1.1 200 OK\r\nX-Marigoldrelay-Response-Seal: seal.other\r\nContent-Length: 26\r\n\r\nan answer to nobody at all"
+var extraResponse = "HTTP/1.1 200 OK\r\n" + wire.Seal + ": seal.other\r\nContent-Length: 26\r\n\r\nan answer to nobody at all"
 
 // playLateExtra lets instances send additional bytes after a complete response, late: where the next response is expected. The bytes
 // name no request. The rule is MIXED: a consumer gets a success with a body that isn't the instance's whole body.
@@ -56,13 +56,13 @@
 	}
 	defer func() { _ = raw.Close() }()
 	reader := bufio.NewReader(buffered)
-	id := r.Header.Get("X-Marigoldrelay-Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	for {
 		time.Sleep(workTime)
 		isSpoilt := i.answered.Add(1)%extraEvery == 0
 		body := i.id + " " + id
-		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nX-Marigoldrelay-Request-Id: %s\r\nX-Marigoldrelay-Response-Seal: seal.%s\r\nContent-Length: %d\r\n\r\n%s",
-			id, id, len(body), body)
+		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Length: %d\r\n\r\n%s",
+			wire.RequestID, id, wire.Seal, id, len(body), body)
 		next, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -70,8 +70,8 @@
 		if _, err := io.Copy(io.Discard, next.Body); err != nil {
 			return
 		}
-		id = next.Header.Get("X-Marigoldrelay-Request-Id")
-		i.note(run{id: id, method: next.Method, path: next.RequestURI, caller: next.Header.Get("X-Marigoldrelay-Caller-Service")})
+		id = next.Header.Get(wire.RequestID)
+		i.note(run{id: id, method: next.Method, path: next.RequestURI, caller: next.Header.Get(wire.Caller)})
 		if isSpoilt {
 			i.record.line("instance %s: sends additional bytes that name no request", i.id)
 			_, _ = fmt.Fprint(raw, extraResponse)
--- a/review/rig/missingfield.go
+++ b/review/rig/missingfield.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -75,12 +74,7 @@
 	p := m.deployment.ports
 	born := time.Now().UnixMilli()
 	for {
-		// The values are plain, so that they always encode.
-		body, _ := json.Marshal(map[string]any{
-			"address": m.at(p.app), "born": born,
-			"info":   map[string]any{"service": usualServices[1], "version": "v1", "zone": m.zone, "slots": 12},
-			"status": map[string]any{"state": "ready", "cold_remaining_s": 0},
-		})
+		body := heartbeat(m.at(p.app), usualServices[1], m.zone, born, 0)
 		status, _, answer := call("PUT", "http://"+m.at(p.control)+"/instances/i-other", map[string]string{"Content-Type": "application/json"}, body)
 		m.deployment.record.line("another writer: heartbeat without sequence to %s: %d %.100s", m.name, status, answer)
 		select {
--- a/review/rig/ownrefusal.go
+++ b/review/rig/ownrefusal.go
@@ -31,9 +31,9 @@
 // failSome answers two of five requests that have run with a failure.
 func (i *instance) failSome(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(workTime)
-	id := r.Header.Get("X-Marigoldrelay-Request-Id")
-	w.Header().Set("X-Marigoldrelay-Request-Id", id)
-	w.Header().Set("X-Marigoldrelay-Response-Seal", "seal."+id)
+	id := r.Header.Get(wire.RequestID)
+	w.Header().Set(wire.RequestID, id)
+	w.Header().Set(wire.Seal, "seal."+id)
 	if i.answered.Add(1)%5 < 2 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = fmt.Fprint(w, "the fee is paid, but the receipt could not be written")
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -44,46 +44,6 @@
 
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
-// route is one route of a desired state.
-type route struct {
-	name, prefix, service string
-	safe                  bool
-	timeout               float64
-	attempts              int
-}
-
-// host is the one host of all desired states here.
-const host = "ficu95.example"
-
-// state returns a desired state.
-func state(version int, services []string, routes []route) []byte {
-	var listed, paths []map[string]any
-	for _, name := range services {
-		listed = append(listed, map[string]any{
-			"name": name, "health_path": "/health", "max_connections": 220, "protocol": "h1", "tls": false,
-		})
-	}
-	for _, r := range routes {
-		kind := "unsafe"
-		if r.safe {
-			kind = "safe"
-		}
-		paths = append(paths, map[string]any{
-			"name": r.name, "path_prefix": r.prefix, "route_type": kind, "timeout_s": r.timeout, "target_latency_s": 0.3,
-			"priority": 0, "service": r.service, "attempts": r.attempts,
-		})
-	}
-	// The values are plain, so that they always encode.
-	text, _ := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("%08x", version), "services": listed,
-		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15,
-		},
-		"virtual_hosts": []any{map[string]any{"host": host, "paths": paths}},
-	})
-	return text
-}
-
 // put sends a desired state to the core machines in turn until one gives a clear answer, and returns its status.
 func (d *deployment) put(base int, text []byte, limit time.Duration) int {
 	header := map[string]string{"Content-Type": "application/json", "If-Match": fmt.Sprintf("%08x", base)}
@@ -160,14 +120,14 @@
 }
 
 func (i *instance) handle(w http.ResponseWriter, r *http.Request) {
-	if target := r.Header.Get("X-Marigoldrelay-Target-Instance"); target != "" && target != i.id {
-		w.Header().Set("X-Marigoldrelay-Instance-Id", i.id)
+	if target := r.Header.Get(wire.Target); target != "" && target != i.id {
+		w.Header().Set(wire.Instance, i.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set("X-Marigoldrelay-Server-Load", "0,0,12,100")
+	w.Header().Set(wire.Load, "0,0,12,100")
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Marigoldrelay-Instance-Id", i.id)
+		w.Header().Set(wire.Instance, i.id)
 		if i.isLeaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -177,7 +137,7 @@
 		return
 	}
 	one := run{
-		caller: r.Header.Get("X-Marigoldrelay-Caller-Service"), id: r.Header.Get("X-Marigoldrelay-Request-Id"),
+		caller: r.Header.Get(wire.Caller), id: r.Header.Get(wire.RequestID),
 		method: r.Method, path: r.RequestURI,
 	}
 	i.note(one)
@@ -186,8 +146,8 @@
 		return
 	}
 	time.Sleep(workTime)
-	w.Header().Set("X-Marigoldrelay-Request-Id", one.id)
-	w.Header().Set("X-Marigoldrelay-Response-Seal", "seal."+one.id)
+	w.Header().Set(wire.RequestID, one.id)
+	w.Header().Set(wire.Seal, "seal."+one.id)
 	_, _ = fmt.Fprintf(w, "%s %s", i.id, one.id)
 }
 
@@ -222,17 +182,6 @@
 	i.record.line("instance %s of %s: heartbeat %d: %d", i.id, i.service, sequence, status)
 }
 
-// heartbeat returns the body of a heartbeat.
-func heartbeat(address, service, zone string, born int64, sequence int) []byte {
-	// The values are plain, so that they always encode.
-	text, _ := json.Marshal(map[string]any{
-		"address": address, "born": born,
-		"info":   map[string]any{"service": service, "version": "v1", "zone": zone, "slots": 12},
-		"status": map[string]any{"state": "ready", "sequence": sequence, "cold_remaining_s": 0},
-	})
-	return text
-}
-
 // leave tells the node that the instance leaves, and returns the status of the answer. From then on its health check fails.
 func (i *instance) leave() int {
 	i.mu.Lock()
