Review: an extra refusal makes an unsafe request run twice

A faulty instance sends one more response after a complete one, late: a 503 that states "not run" and names no request. The node takes it for the answer to the unsafe request that the instance runs, and the entry sends that to another instance, where it runs too. Cause: conn.isUnproven guards against copies of an earlier failure on the same channel alone.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	"foreign-service": playForeignService,
 	"forgotten-leave": playForgottenLeave,
 	"late-extra":      playLateExtra,
+	"late-refusal":    playLateRefusal,
 	"missing-field":   playMissingField,
 	"own-refusal":     playOwnRefusal,
 }
--- a/review/rig/wire.go
+++ b/review/rig/wire.go
@@ -19,6 +19,7 @@
 	Timeout   string `json:"timeout"`
 	Target    string `json:"target"`
 	Seal      string `json:"seal"`
+	NotRun    string `json:"not-run"`
 	Load      string `json:"load"`
 	Instance  string `json:"instance"`
 	Caller    string `json:"caller"`
