Tests: a node that has ended sends no more datagrams

The memory network delivered what a closed packet connection wrote. A write after Close returns net.ErrClosed, as a socket does.

--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -289,6 +289,11 @@
 
 // WriteToUDPAddrPort implements relayer.PacketConn.
 func (p *memoryPacketConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error) {
+	select {
+	case <-p.closed:
+		return 0, net.ErrClosed
+	default:
+	}
 	m := p.network
 	m.mu.Lock()
 	target := m.packetConns[to]
