--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -23,16 +23,17 @@
 	ReasonDraining       Reason = "draining"  // The upstream or its node is draining.
 	ReasonEvacuated      Reason = "evacuated" // The data centre of the upstream is evacuated.
 	ReasonHeaderTooLarge Reason = "header-too-large"
-	ReasonKeyReused      Reason = "key-reused"      // The idempotency key was used for another request.
-	ReasonNoDocument     Reason = "no-document"     // No configuration is in force yet.
-	ReasonNoRegion       Reason = "no-region"       // No upstream runs in a region in which the request can run.
-	ReasonNoRoute        Reason = "no-route"        // No route matches the request.
-	ReasonNoUpstream     Reason = "no-upstream"     // No ready upstream could be used.
-	ReasonOutcomeUnknown Reason = "outcome-unknown" // The request may have run, and its outcome is not known.
-	ReasonPoison         Reason = "poison"          // Equal requests have crashed upstreams.
-	ReasonQuarantined    Reason = "quarantined"     // The request may have caused a crash, and so may another one that is running.
-	ReasonQueueFull      Reason = "queue-full"      // The queue is full or the expected wait is too long.
-	ReasonQuota          Reason = "quota"           // The workspace has used up its quota.
+	ReasonKeyReused      Reason = "key-reused"       // The idempotency key was used for another request.
+	ReasonLeaveNotStored Reason = "leave-not-stored" // The upstream's leave is not known to be stored yet.
+	ReasonNoDocument     Reason = "no-document"      // No configuration is in force yet.
+	ReasonNoRegion       Reason = "no-region"        // No upstream runs in a region in which the request can run.
+	ReasonNoRoute        Reason = "no-route"         // No route matches the request.
+	ReasonNoUpstream     Reason = "no-upstream"      // No ready upstream could be used.
+	ReasonOutcomeUnknown Reason = "outcome-unknown"  // The request may have run, and its outcome is not known.
+	ReasonPoison         Reason = "poison"           // Equal requests have crashed upstreams.
+	ReasonQuarantined    Reason = "quarantined"      // The request may have caused a crash, and so may another one that is running.
+	ReasonQueueFull      Reason = "queue-full"       // The queue is full or the expected wait is too long.
+	ReasonQuota          Reason = "quota"            // The workspace has used up its quota.
 	// ReasonQuotaUnknown means that no node that keeps quotas has answered.
 	ReasonQuotaUnknown   Reason = "quota-unknown"
 	ReasonRequestMemory  Reason = "request-memory" // The node has no memory for the request's body.
@@ -52,7 +53,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonAnswerMemory, ReasonBadRequest, ReasonBodyTooLarge, ReasonBusy, ReasonCancelled, ReasonDeadline, ReasonDraining,
-		ReasonEvacuated, ReasonHeaderTooLarge, ReasonKeyReused, ReasonNoDocument, ReasonNoRegion, ReasonNoRoute, ReasonNoUpstream,
+		ReasonEvacuated, ReasonHeaderTooLarge, ReasonKeyReused, ReasonLeaveNotStored, ReasonNoDocument, ReasonNoRegion, ReasonNoRoute, ReasonNoUpstream,
 		ReasonOutcomeUnknown, ReasonPoison, ReasonQuarantined, ReasonQueueFull, ReasonQuota, ReasonQuotaUnknown,
 		ReasonRequestMemory, ReasonRequestTimeout, ReasonRetryBudget, ReasonShed, ReasonUnauthorized, ReasonUnconfirmed,
 		ReasonUnknownKey, ReasonUpstreamFailed, ReasonUpstreamLost, ReasonRateLimit,
--- a/internal/registrar/leaving_test.go
+++ b/internal/registrar/leaving_test.go
@@ -26,11 +26,11 @@
 		}
 	}
 	announce(ready, announcer.StateReady)
-	r.MarkLeaving(announcer.Process{Instance: "another"})
-	r.MarkLeaving(announcer.Process{Instance: "i", Born: 99})
+	r.MarkLeaving(announcer.Leave{Process: announcer.Process{Instance: "another"}})
+	r.MarkLeaving(announcer.Leave{Process: announcer.Process{Instance: "i", Born: 99}})
 	announce(ready, announcer.StateReady)
-	r.MarkLeaving(announcer.Process{Instance: "i"})
-	r.MarkLeaving(announcer.Process{Instance: "i"})
+	r.MarkLeaving(announcer.Leave{Process: announcer.Process{Instance: "i"}})
+	r.MarkLeaving(announcer.Leave{Process: announcer.Process{Instance: "i"}})
 	ready.Sequence++
 	announce(ready, announcer.StateDraining)
 	r.AddDiscovered(announcer.Announcement{Address: "127.0.0.1:1", Instance: "i", Service: "s", Slots: 2, State: announcer.StateReady})
@@ -70,7 +70,7 @@
 // that has said to the earlier one that it leaves.
 func TestLeavingIsKnownBeforeFirstAnnouncement(t *testing.T) {
 	r := New(timekeeper.System{}, func(announcer.Announcement) {})
-	r.MarkLeaving(announcer.Process{Instance: "i1", Born: 100})
+	r.MarkLeaving(announcer.Leave{Process: announcer.Process{Instance: "i1", Born: 100}})
 	if _, err := r.Announce(numbered("i1", 100, 7, announcer.StateReady)); err != nil || r.Current().State != announcer.StateDraining {
 		t.Errorf("a late heartbeat: %v, %s", err, r.Current().State)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -2,8 +2,10 @@
 package registrar
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,11 +34,17 @@
 var (
 	// ErrInvalid is wrapped by the error for an announcement with an invalid field.
 	ErrInvalid = merry.Sentinel("invalid announcement")
+	// ErrOtherProcess is wrapped, with ErrOutdated, by the error for an announcement of a process in whose place another one
+	// is registered.
+	ErrOtherProcess = merry.Sentinel("another process of the upstream is registered")
 	// ErrOutdated is wrapped by the error for an announcement that is older than the current state of the
 	// upstream.
 	ErrOutdated = merry.Sentinel("outdated announcement")
 )
 
+// maxLeaves is the number of leaves that a registrar remembers.
+const maxLeaves = 64
+
 // Registrar holds the newest announcement of one upstream. It is safe for concurrent use.
 type Registrar struct {
 	clock    timekeeper.Clock
@@ -53,10 +61,9 @@
 	lease     time.Duration
 	// isLeaving is true when the current process has announced that it is shutting down.
 	isLeaving bool
-	// leaving is the last process that has said to the node's callers, or to an earlier process of this node, that it
-	// leaves; zero if there was none.
-	leaving announcer.Process
-	timer   timekeeper.Timer
+	// leaves are the last leaves that were said to this node, its callers or an earlier process of this node, the newest last.
+	leaves []announcer.Leave
+	timer  timekeeper.Timer
 }
 
 // New returns a registrar without an upstream, whose leases last LeaseTime. It calls onChange after each
@@ -72,8 +79,8 @@
 	return &Registrar{clock: clock, lease: lease, onChange: onChange, onCold: onCold, current: gone}
 }
 
-// Announce stores an announcement, or renews its lease, and returns the lease. A process that MarkLeaving has named stays
-// draining. The error wraps ErrInvalid or ErrOutdated.
+// Announce stores an announcement, or renews its lease, and returns the lease. A process that leaves stays draining, whatever it
+// announces later. The error wraps ErrInvalid or ErrOutdated.
 func (r *Registrar) Announce(a announcer.Announcement) (announcer.Lease, error) {
 	if err := r.validate(a); err != nil {
 		return announcer.Lease{}, err
@@ -91,15 +98,21 @@
 // held.
 func (r *Registrar) store(a announcer.Announcement) error {
 	r.mu.Lock()
-	if a.State != announcer.StateGone && r.hasSaidLeaving(a) {
+	saysLeaving := a.State == announcer.StateDraining || a.IsLeave()
+	hasAnnounced := r.isLeaving && a.Process() == r.current.Process()
+	if a.State != announcer.StateGone && r.isNamed(a.Process()) && !hasAnnounced {
 		a.State = announcer.StateDraining
 	}
-	if err := r.checkOrder(a); err != nil {
+	err := r.checkOrder(a)
+	if a.IsLeave() && (err == nil || errors.Is(err, ErrOtherProcess)) {
+		r.rememberLeave(announcer.Leave{Process: a.Process()})
+	}
+	if err != nil {
 		r.mu.Unlock()
 		return err
 	}
 	changed := isChange(r.current, a)
-	r.isLeaving = a.State == announcer.StateDraining || (a.State == announcer.StateGone && isNumbered(a))
+	r.isLeaving = saysLeaving
 	r.current = a
 	r.expiresAt = r.clock.Now().Add(r.lease)
 	if r.timer == nil {
@@ -124,12 +137,15 @@
 		return nil
 	}
 	hasLease := r.clock.Now().Before(r.expiresAt)
+	isOther := a.Process() != r.current.Process()
 	switch {
-	case hasLease && a.Process() == r.current.Process() && a.Service != r.current.Service:
+	case isOther && hasLease && r.current.State != announcer.StateGone && r.isNamed(a.Process()):
+		return fmt.Errorf("%w: %w: instance %s has said that it goes", ErrOutdated, ErrOtherProcess, a.Instance)
+	case hasLease && !isOther && a.Service != r.current.Service:
 		return fmt.Errorf("%w: service: %q: instance %s serves %q", ErrInvalid, a.Service, a.Instance, r.current.Service)
 	case hasLease && a.Born < r.current.Born:
-		return fmt.Errorf("%w: instance %s was born before %s", ErrOutdated, a.Instance, r.current.Instance)
-	case a.Born != r.current.Born || a.Instance != r.current.Instance:
+		return fmt.Errorf("%w: %w: instance %s was born before %s", ErrOutdated, ErrOtherProcess, a.Instance, r.current.Instance)
+	case isOther:
 		return nil
 	case hasLease && a.Sequence < r.current.Sequence:
 		return fmt.Errorf("%w: announcement %d after %d", ErrOutdated, a.Sequence, r.current.Sequence)
@@ -174,18 +190,24 @@
 	r.onChange(gone)
 }
 
-// Withdraw records that the upstream's process is shutting down, as reported by the process itself. Its state
-// becomes draining, and its announcements as ready are refused from then on. A zero born matches every start of
-// the instance. The withdrawal of a process other than the current one is ignored unless the current one is
-// gone.
-func (r *Registrar) Withdraw(process announcer.Process) {
+// Withdraw records that a process of the upstream is shutting down, as reported by the process itself, and returns its leave. Its
+// announcements as ready are refused from then on. The current process becomes draining, and so does another one while the
+// current one is gone. If the process doesn't say when it started, the current process of the instance is meant, or else all that have
+// started by now.
+func (r *Registrar) Withdraw(process announcer.Process) announcer.Leave {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
 	isCurrent := r.current.Process().IsSame(process)
+	leave := announcer.Leave{Process: process}
+	if isCurrent {
+		leave.Born = max(process.Born, r.current.Born)
+	}
+	leave = r.withBound(leave)
+	r.rememberLeave(leave)
 	if !isCurrent && r.current.State != announcer.StateGone {
 		r.mu.Unlock()
-		return
+		return leave
 	}
 	if !isCurrent {
 		r.current.Instance = process.Instance
@@ -197,23 +219,20 @@
 	draining := r.current
 	r.mu.Unlock()
 	r.onChange(draining)
+	return leave
 }
 
 // MarkLeaving records that a process has said in its answers, or to an earlier process of this node, that it leaves. Its state
-// becomes draining and stays so, whatever it announces, also later. It is ignored while another process is there.
-func (r *Registrar) MarkLeaving(process announcer.Process) {
+// becomes draining and stays so, whatever it announces, also later.
+func (r *Registrar) MarkLeaving(leave announcer.Leave) {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	isCurrent := r.current.Process().IsSame(process)
-	if !isCurrent && r.current.State != announcer.StateGone {
-		r.mu.Unlock()
-		return
-	}
+	isCurrent := leave.Names(r.current.Process())
 	if isCurrent {
-		process.Born = max(process.Born, r.current.Born)
+		leave.Born = max(leave.Born, r.current.Born)
 	}
-	r.leaving = process
+	r.rememberLeave(r.withBound(leave))
 	if !isCurrent {
 		r.mu.Unlock()
 		return
@@ -229,9 +248,36 @@
 	}
 }
 
-// hasSaidLeaving reports whether MarkLeaving has named the announced process. It is called with mu held.
-func (r *Registrar) hasSaidLeaving(a announcer.Announcement) bool {
-	return r.leaving.Instance != "" && a.Process().IsSame(r.leaving)
+// withBound returns the leave of a process whose start is not known as one of all that have started by now.
+func (r *Registrar) withBound(leave announcer.Leave) announcer.Leave {
+	switch {
+	case leave.Born != 0:
+		leave.BornBy = 0
+	case leave.BornBy == 0:
+		leave.BornBy = r.clock.Now().UnixMilli()
+	}
+	return leave
+}
+
+// rememberLeave adds a leave to those that are remembered. It is called with mu held.
+func (r *Registrar) rememberLeave(leave announcer.Leave) {
+	if slices.Contains(r.leaves, leave) {
+		return
+	}
+	r.leaves = append(r.leaves, leave)
+	r.leaves = r.leaves[max(0, len(r.leaves)-maxLeaves):]
+}
+
+// IsLeaving reports whether the process is known to leave.
+func (r *Registrar) IsLeaving(process announcer.Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isNamed(process)
+}
+
+// isNamed reports whether one of the remembered leaves names the process. It is called with mu held.
+func (r *Registrar) isNamed(process announcer.Process) bool {
+	return slices.ContainsFunc(r.leaves, func(leave announcer.Leave) bool { return leave.Names(process) })
 }
 
 // AddDiscovered stores an upstream that was discovered without an announcement, unless the current upstream is ready
@@ -239,7 +285,7 @@
 func (r *Registrar) AddDiscovered(a announcer.Announcement) {
 	r.mu.Lock()
 	current := r.current
-	isLeaving := (r.isLeaving && current.Instance == a.Instance) || r.hasSaidLeaving(a)
+	isLeaving := (r.isLeaving && current.Instance == a.Instance) || r.isNamed(a.Process())
 	r.mu.Unlock()
 	if current.State == announcer.StateReady || isLeaving {
 		return
--- a/internal/relayer/announcedrain_test.go
+++ b/internal/relayer/announcedrain_test.go
@@ -25,7 +25,7 @@
 		target.Node.DrainFor(notice, limit)
 	}()
 	awaitServing(t, c.Deployment, 0)
-	err := target.Node.Announce(announcer.Announcement{
+	err := target.Node.Announce(t.Context(), announcer.Announcement{
 		Address: target.Settings.CallerAddress.String(), Born: time.Now().UnixMilli(), Instance: "next", Service: "entries",
 		Slots: 4, State: announcer.StateReady,
 	})
--- a/internal/relayer/callpath.go
+++ b/internal/relayer/callpath.go
@@ -56,7 +56,7 @@
 		OnCrash:           n.upstreamCrashed,
 		OnMalformedAnswer: n.answerMalformed,
 		OnUpstreamDown:    n.markUpstreamDown,
-		OnUpstreamLeaving: func(process announcer.Process) { n.registrar.MarkLeaving(process) },
+		OnUpstreamLeaving: func(process announcer.Process) { n.registrar.MarkLeaving(announcer.Leave{Process: process}) },
 		ProcessName:       sender,
 		Quarantiner:       n.quarantiner,
 		Recorder:          n.recorder,
--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -23,23 +23,35 @@
 // ErrUnknownService is wrapped by the error for an announcement of a service that is not configured.
 var ErrUnknownService = merry.Sentinel("no such service")
 
-// Announce handles an announcement of the upstream beside the node. The error wraps ErrUnknownService if the
-// document in force does not have the service.
-func (n *Node) Announce(a announcer.Announcement) error {
+// Announce handles an announcement of the upstream beside the node. It returns nil for a leave once that is stored by the register's
+// replicas. The error wraps ErrUnknownService if the document in force does not have the service, an error of the
+// registrar, or leavekeeper.ErrNotStored or ErrFull for a leave of which that is not known when ctx is done; the upstream gets no requests
+// all the same.
+func (n *Node) Announce(ctx context.Context, a announcer.Announcement) error {
 	if document := n.currentDocument(); document != nil {
 		if _, ok := document.ServiceNamed(a.Service); !ok {
 			return fmt.Errorf("%w: %s", ErrUnknownService, a.Service)
 		}
 	}
-	_, err := n.registrar.Announce(a)
+	_, err := n.announce(ctx, a)
 	return err
 }
 
-// Withdraw records that the upstream's process is about to exit, as reported by the process itself. A zero born
-// stands for any start of the instance.
-func (n *Node) Withdraw(process announcer.Process) {
+// announce registers an announcement, stores its leave if it is one, and returns the lease.
+func (n *Node) announce(ctx context.Context, a announcer.Announcement) (announcer.Lease, error) {
+	lease, err := n.registrar.Announce(a)
+	if !a.IsLeave() || !n.registrar.IsLeaving(a.Process()) {
+		return lease, err
+	}
+	return lease, n.leaves.confirm(ctx, announcer.Leave{Process: a.Process()})
+}
+
+// Withdraw records that the upstream's process is about to exit, as reported by the process itself. A zero born stands for the current
+// process of the instance, or all that have started by now. It returns nil once that is stored by the register's replicas. The error
+// wraps leavekeeper.ErrNotStored or ErrFull if that is not known when ctx is done; the upstream gets no requests all the same.
+func (n *Node) Withdraw(ctx context.Context, process announcer.Process) error {
 	n.log.Info("The upstream says that it goes.", "instance", process.Instance, "born", process.Born)
-	n.registrar.Withdraw(process)
+	return n.leaves.confirm(ctx, n.registrar.Withdraw(process))
 }
 
 // Change makes a version of the document. It returns ErrTooFewReplicas while the register has too few replicas.
--- a/internal/relayer/export_test.go
+++ b/internal/relayer/export_test.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
+	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
 // Activate puts a document in force as a value of the register with the revision.
@@ -32,3 +33,8 @@
 	_, refusal := n.quotas.keeper.Take(context.Background(), workspace, time.Second)
 	return refusal
 }
+
+// FindUpstream does what a health check does that the upstream has answered with 200 and the id of its instance.
+func (n *Node) FindUpstream(a announcer.Announcement) {
+	proberNode{n}.UpstreamDiscovered(a)
+}
--- a/internal/relayer/membership.go
+++ b/internal/relayer/membership.go
@@ -59,7 +59,7 @@
 func (n *Node) LeavingRemembered(process announcer.Process) {
 	n.meter.Event("leaving_remembered")
 	n.log.Info("The upstream has said to an earlier process of this node that it leaves.", "process", process)
-	n.registrar.MarkLeaving(process)
+	n.registrar.MarkLeaving(announcer.Leave{Process: process})
 }
 
 // ViewDiffers implements gossiper.Observer. It requests a sync with the member, unless a request is already pending.
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -95,6 +95,7 @@
 	gossiper         *gossiper.Gossiper
 	hints            *hintreader.Reader
 	incarnation      uint64
+	leaves           *leaves
 	peerOptions      []forwarder.Option
 	membershipBudget *budgeter.Bytes
 	messenger        *messenger.Messenger
@@ -177,6 +178,9 @@
 	if err := n.buildRegister(); err != nil {
 		return nil, err
 	}
+	if err := n.buildLeaves(); err != nil {
+		return nil, err
+	}
 	if err := n.buildGossiper(); err != nil {
 		return nil, err
 	}
@@ -273,6 +277,7 @@
 	n.messenger.Abort()
 	n.carrier.Close()
 	n.quotas.close()
+	n.leaves.close()
 	n.register.close()
 }
 
@@ -281,6 +286,11 @@
 	return n.gossiper.Member(name)
 }
 
+// CountEvent counts an event by name in the node's metrics.
+func (n *Node) CountEvent(name string) {
+	n.meter.Event(name)
+}
+
 // Meter returns the node's metrics.
 func (n *Node) Meter() *meter.Meter {
 	return n.meter
@@ -301,6 +311,7 @@
 	_ = n.udpConn.Close()
 	n.messenger.Close(ctx)
 	n.carrier.Close()
+	n.leaves.close()
 	n.register.close()
 	n.tasks.Wait()
 	// The task that writes the record has ended, so that no other process finds the folder free while it writes.
--- a/internal/relayer/peerclient.go
+++ b/internal/relayer/peerclient.go
@@ -145,6 +145,7 @@
 	m := n.messenger
 	n.register.addHandlers(m)
 	n.quotas.addHandlers(m)
+	n.leaves.addHandlers(m)
 	addHandler(m, methodPull, func(_ context.Context, p executor.PullRequest) (executor.PullReply, error) {
 		return n.executor.Pull(p), nil
 	})
--- a/internal/relayer/quota.go
+++ b/internal/relayer/quota.go
@@ -103,7 +103,7 @@
 	q.value = current.value
 	config := quotagranter.Config{Limits: q.limits}
 	if value := current.value; value == nil || len(value.Replicas) == 0 {
-		config.Standalone = !q.expectsRegister()
+		config.Standalone = !q.node.expectsRegister()
 	} else {
 		config.Replicas = max(len(value.Replicas), len(value.Previous))
 		config.ReplicasRevision = value.ReplicasRevision
@@ -119,17 +119,6 @@
 	return slices.Contains(value.Replicas, self)
 }
 
-// expectsRegister reports whether the deployment has a register although this node has no value of it yet: it has a data folder
-// itself, or knows a member with one, or can't know because it has just started.
-func (q *quotas) expectsRegister() bool {
-	n := q.node
-	if n.settings.DataFolder != "" || n.settings.SelfForming {
-		return true
-	}
-	hasDisk := func(m gossiper.Member) bool { return m.DiskID != "" }
-	return slices.ContainsFunc(n.gossiper.Members(), hasDisk) || len(n.settings.Seeds) > 0 && len(n.livePeers()) == 0
-}
-
 // membersChanged adapts the order of the granters to a change of a member. While the node has no value of the register, the
 // change can also show that there is one.
 func (q *quotas) membersChanged(m gossiper.Member) {
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -422,6 +423,24 @@
 	n.register.fetcher.Offer(from, revision)
 }
 
+// registerValue returns the value of the register that is in force, or nil if none with replicas is.
+func (n *Node) registerValue() *replicator.Value {
+	if value := n.register.Local(); value != nil && len(value.Replicas) > 0 {
+		return value
+	}
+	return nil
+}
+
+// expectsRegister reports whether the deployment has a register although this node has no value of it yet: it has a data folder
+// itself, or knows a member with one, or can't know because it has just started.
+func (n *Node) expectsRegister() bool {
+	if n.settings.DataFolder != "" || n.settings.SelfForming {
+		return true
+	}
+	hasDisk := func(m gossiper.Member) bool { return m.DiskID != "" }
+	return slices.ContainsFunc(n.gossiper.Members(), hasDisk) || len(n.settings.Seeds) > 0 && len(n.livePeers()) == 0
+}
+
 // revision returns the revision of the register's value that is in force, or zero.
 func (n *Node) revision() uint64 {
 	if value := n.register.Local(); value != nil {
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -12,6 +12,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/administrator"
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
+	"github.com/marigoldrelay/marigoldrelay/internal/leavekeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/listener"
 	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
@@ -21,6 +22,9 @@
 // in less.
 const memoryRetryAfter = time.Second
 
+// announceTimeout limits how long an announcement waits until its leave is stored. The announcer waits for a second.
+const announceTimeout = 900 * time.Millisecond
+
 // serveCaller handles a request from outside or from an upstream.
 func (n *Node) serveCaller(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	if refusal := n.dispatcher.Dispatch(ctx, req, resp); refusal != nil {
@@ -80,14 +84,24 @@
 		refuser.New(refuser.ReasonBadRequest, err.Error()).Write(&ctx.Response)
 		return
 	}
-	lease, err := n.registrar.Announce(a)
+	confirmCtx, cancel := context.WithTimeout(n.register.callCtx, announceTimeout)
+	defer cancel()
+	lease, err := n.announce(confirmCtx, a)
 	if err != nil {
-		refuser.New(refuser.ReasonBadRequest, err.Error()).Write(&ctx.Response)
+		refuser.New(announceRefusal(err), err.Error()).Write(&ctx.Response)
 		return
 	}
 	administrator.WriteJSON(ctx, lease)
 }
 
+// announceRefusal returns the reason for which an announcement is not acknowledged.
+func announceRefusal(err error) refuser.Reason {
+	if errors.Is(err, leavekeeper.ErrNotStored) || errors.Is(err, leavekeeper.ErrFull) {
+		return refuser.ReasonLeaveNotStored
+	}
+	return refuser.ReasonBadRequest
+}
+
 // refuseUnreadable refuses a request that can't be read, with the reason that fits the error, and counts the
 // refusal.
 func (n *Node) refuseUnreadable(resp *fasthttp.Response, err error) {
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -51,6 +51,8 @@
 	Seed  uint64 `json:"seed"`
 	// Members is the number of nodes.
 	Members int `json:"members"`
+	// Disks is the number of nodes with a disk; zero for spreadReplicas.
+	Disks int `json:"disks"`
 	// Routes is the number of routes that are added to the document.
 	Routes int `json:"routes"`
 	// LossPercent is the part of the datagrams that is lost.
@@ -260,7 +262,7 @@
 	if f.relayed {
 		settings.CrossDataCentreCost = validator.Duration(40 * time.Millisecond)
 	}
-	if number < spreadReplicas {
+	if number < cmp.Or(f.scenario.Disks, spreadReplicas) {
 		if f.folders[number] == "" {
 			f.folders[number] = f.t.TempDir()
 		}
--- a/internal/relayer/tasks.go
+++ b/internal/relayer/tasks.go
@@ -71,6 +71,8 @@
 	n.startTask(func() { n.learnChosen(ctx) })
 	n.startTask(func() { n.recoverDisk(ctx) })
 	n.startTask(func() { n.confirmer.Run(ctx) })
+	n.startTask(func() { n.leaves.writer.Run(ctx) })
+	n.startTask(func() { n.leaves.recall(ctx) })
 	n.log.Info("Started.", "callers", n.settings.CallerAddress, "admin", n.settings.AdminAddress)
 	return nil
 }
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -74,8 +74,15 @@
 	Query(ctx context.Context, vm string, request QueryRequest) (QueryReply, error)
 }
 
+// Successor takes over what the replicas store beside the value when their set changes.
+type Successor interface {
+	// HandOver is called with a value that is known to be chosen, before a value without its previous set of replicas is
+	// proposed. It must bring to a majority of the replicas what a majority of the previous ones stores.
+	HandOver(ctx context.Context, joint *Value) error
+}
+
 // Proposer reads and changes the register on behalf of one node. Its methods are safe for concurrent use,
-// except for SetRoundObserver.
+// except for SetRoundObserver and SetSuccessor.
 type Proposer struct {
 	clock     timekeeper.Clock
 	name      string
@@ -83,6 +90,8 @@
 
 	// roundObserver is called after each round; nil for none.
 	roundObserver func(Round)
+	// successor takes over what the replicas store beside the value; nil for none.
+	successor Successor
 	// roundSlot is a semaphore that allows one round at a time, since two would only preempt each other.
 	roundSlot chan struct{}
 
@@ -121,6 +130,11 @@
 	p.roundObserver = observer
 }
 
+// SetSuccessor sets what takes over what the replicas store beside the value. It must be called before the first round.
+func (p *Proposer) SetSuccessor(successor Successor) {
+	p.successor = successor
+}
+
 // SetConfirmedReplicas sets the replicas to those of a value that is in force.
 func (p *Proposer) SetConfirmedReplicas(replicas []Replica) {
 	p.mu.Lock()
@@ -301,6 +315,11 @@
 	if len(current.Previous) > 0 && newest.Ballot != p.lastChosen().Ballot {
 		return nil, p.chooseJoint(ctx, ballot, current, sets)
 	}
+	if len(current.Previous) > 0 && p.successor != nil {
+		if err := p.successor.HandOver(ctx, current); err != nil {
+			return nil, err
+		}
+	}
 	next, updateErr := update(current)
 	if next == current {
 		next = current.withoutPrevious()
--- a/pkg/announcer/announcement.go
+++ b/pkg/announcer/announcement.go
@@ -53,6 +53,12 @@
 	State State `json:"state"`
 }
 
+// IsLeave reports whether the announcement says for good that its process leaves. Without a start time it can't be ordered, so that a
+// later one can take it back.
+func (a Announcement) IsLeave() bool {
+	return a.Born != 0 && (a.State == StateDraining || a.State == StateGone)
+}
+
 // Lease is a node's answer to an Announcement.
 type Lease struct {
 	// Time is how long the announcement is valid, as a Go duration string.
--- a/pkg/announcer/process.go
+++ b/pkg/announcer/process.go
@@ -25,3 +25,20 @@
 func (p Process) String() string {
 	return fmt.Sprintf("%s/%d", p.Instance, p.Born)
 }
+
+// Leave tells which process of an instance leaves: it finishes its requests and must not get new ones. It is of a process and
+// not of an instance, since an instance can start again under its id.
+type Leave struct {
+	Process
+	// BornBy is set, in milliseconds since the Unix epoch, if it is not known when the process started: it had started by
+	// then. Later processes of the instance don't leave.
+	BornBy int64 `json:"born-by,omitempty"`
+}
+
+// Names reports whether the leave is of the process, as far as is known.
+func (l Leave) Names(process Process) bool {
+	if l.Born == 0 && l.BornBy != 0 {
+		return process.Instance == l.Instance && process.Born <= l.BornBy
+	}
+	return l.IsSame(process)
+}
