--- a/internal/relayer/leaves_test.go
+++ b/internal/relayer/leaves_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +12,6 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/leavekeeper"
 	"github.com/marigoldrelay/marigoldrelay/internal/relayer"
-	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
@@ -66,26 +62,7 @@
 // TestAcknowledgedLeaveOutlivesNodes guards against an upstream that has left and gets requests again, after all processes that were
 // told were killed: by a heartbeat that arrives late, or by a health check that it still answers with 200 (review/8).
 func TestAcknowledgedLeaveOutlivesNodes(t *testing.T) {
-	files, err := filepath.Glob("testdata/leaves/*.json")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scenarios: %v", err)
-	}
-	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts it outside
-	// the synctest bubble.
-	carrier.EncodeResponse(&fasthttp.Response{})
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			scenario := &leaveScenario{}
-			if err := validator.DecodeStrict(text, scenario); err != nil {
-				t.Fatal(err)
-			}
-			synctest.Test(t, func(t *testing.T) { playLeave(t, scenario) })
-		})
-	}
+	playScenarios(t, "testdata/leaves/*.json", playLeave)
 }
 
 // leavingUpstream is the upstream that leaves in a scenario.
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -143,6 +143,12 @@
 
 // playSpreadScenarios plays the scenarios in the data files that match the pattern, in virtual time.
 func playSpreadScenarios(t *testing.T, pattern string, relayed bool) {
+	playScenarios(t, pattern, func(t *testing.T, scenario *spreadScenario) { playSpread(t, scenario, relayed) })
+}
+
+// playScenarios plays the scenario in each data file that matches the pattern, in virtual time.
+func playScenarios[S any](t *testing.T, pattern string, play func(t *testing.T, scenario *S)) {
+	t.Helper()
 	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no scenarios: %v", err)
@@ -157,11 +163,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			scenario := &spreadScenario{}
+			scenario := new(S)
 			if err := validator.DecodeStrict(text, scenario); err != nil {
 				t.Fatal(err)
 			}
-			synctest.Test(t, func(t *testing.T) { playSpread(t, scenario, relayed) })
+			synctest.Test(t, func(t *testing.T) { play(t, scenario) })
 		})
 	}
 }
