--- a/internal/relayer/control.go
+++ b/internal/relayer/control.go
@@ -24,12 +24,13 @@
 var ErrUnknownService = merry.Sentinel("no such service")
 
 // Announce handles an announcement of the upstream beside the node. It returns nil for a leave once that is stored by the register's
-// replicas. The error wraps ErrUnknownService if the document in force does not have the service, an error of the
+// replicas. The error wraps ErrUnknownService if the document in force does not have the service, ErrOtherUpstream, an error of the
 // registrar, or leavekeeper.ErrNotStored or ErrFull for a leave of which that is not known when ctx is done; the upstream gets no requests
 // all the same.
 func (n *Node) Announce(ctx context.Context, a announcer.Announcement) error {
 	if document := n.currentDocument(); document != nil {
 		if _, ok := document.ServiceNamed(a.Service); !ok {
+			n.meter.Event("announcements_of_unknown_service")
 			return fmt.Errorf("%w: %s", ErrUnknownService, a.Service)
 		}
 	}
@@ -37,8 +38,13 @@
 	return err
 }
 
-// announce registers an announcement, stores its leave if it is one, and returns the lease.
+// announce registers an announcement that doesn't contradict the settings, stores its leave if it is one, and returns the lease.
 func (n *Node) announce(ctx context.Context, a announcer.Announcement) (announcer.Lease, error) {
+	if err := n.identity.Load().check(&a); err != nil {
+		n.meter.Event("announcements_of_other_upstream")
+		n.events.write(false, "An announcement is not of the upstream that the settings name.", "instance", a.Instance, "error", err)
+		return announcer.Lease{}, err
+	}
 	lease, err := n.registrar.Announce(a)
 	if !a.IsLeave() || !n.registrar.IsLeaving(a.Process()) {
 		return lease, err
@@ -84,7 +90,8 @@
 	return isNew && confirmerNode{n.register}.Need().Lifetime > 0 && n.confirmer.Age() == confirmer.Never
 }
 
-// Reload applies settings that have changed. Only new seeds take effect while the node runs.
+// Reload applies settings that have changed. Only new seeds, and another service or address of the upstream, take effect while the node
+// runs.
 func (n *Node) Reload(settings *settingsreader.Settings) {
 	var added []netip.AddrPort
 	for _, seed := range settings.Seeds {
@@ -93,6 +100,7 @@
 		}
 	}
 	n.gossiper.AddSeeds(added)
+	n.setIdentity(newUpstreamIdentity(settings))
 	n.log.Info("The settings were read again.", "new-seeds", len(added))
 }
 
--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -85,15 +85,17 @@
 	bindingBudget *budgeter.Bytes
 	carrier       *carrier.Carrier
 	// differingPeers holds the control address of a member whose view of the members differs.
-	differingPeers   chan netip.AddrPort
-	claimTable       *claimer.Table
-	confirmer        *confirmer.Confirmer
-	dispatcher       *dispatcher.Dispatcher
-	active           atomic.Pointer[activeDocument]
-	executor         *executor.Executor
-	gossipBudget     *budgeter.Bytes
-	gossiper         *gossiper.Gossiper
-	hints            *hintreader.Reader
+	differingPeers chan netip.AddrPort
+	claimTable     *claimer.Table
+	confirmer      *confirmer.Confirmer
+	dispatcher     *dispatcher.Dispatcher
+	active         atomic.Pointer[activeDocument]
+	executor       *executor.Executor
+	gossipBudget   *budgeter.Bytes
+	gossiper       *gossiper.Gossiper
+	hints          *hintreader.Reader
+	// identity is what the settings that were read last say of the upstream.
+	identity         atomic.Pointer[upstreamIdentity]
 	incarnation      uint64
 	leaves           *leaves
 	peerOptions      []forwarder.Option
@@ -150,6 +152,7 @@
 		meter:            meter.New(),
 		crashReplayQueue: make(chan gossiper.Member, crashReplayQueueLen),
 	}
+	n.identity.Store(newUpstreamIdentity(settings))
 	n.sentBytes = tallier.New(n.meter.SentBytes)
 	n.events = newEventLog(n.clock, n.settings.LogLinesPerSecond, n.log, n.meter)
 	n.peakNodes = newPeakNodeCount(n.clock)
@@ -225,15 +228,6 @@
 	return rand.New(rand.NewPCG(seed, seed))
 }
 
-// service returns the service of the upstream on this VM: the announced one, or else the one from the settings,
-// which can be the empty string.
-func (n *Node) service() string {
-	if announced := n.registrar.Current().Service; announced != "" {
-		return announced
-	}
-	return n.settings.UpstreamService
-}
-
 // Owners implements claimer.Members.
 func (n *Node) Owners(service string) []gossiper.Member {
 	return n.router.Members(service)
--- a/internal/relayer/probernode.go
+++ b/internal/relayer/probernode.go
@@ -37,9 +37,9 @@
 // Target returns what the prober needs to know about the upstream.
 func (p proberNode) Target() prober.Target {
 	n := p.node
-	_, address, _ := n.upstream.current()
+	address := n.identity.Load().address
 	if !address.IsValid() {
-		address = n.settings.UpstreamAddress
+		_, address, _ = n.upstream.current()
 	}
 	current := n.registrar.Current()
 	target := prober.Target{
--- a/pkg/announcer/announcement.go
+++ b/pkg/announcer/announcement.go
@@ -37,6 +37,8 @@
 	Born int64 `json:"born,omitempty"`
 	// Cold is how long the upstream stays slow after its start, in nanoseconds in JSON.
 	Cold time.Duration `json:"cold,omitempty"`
+	// DataCentre is that of the upstream's VM; empty if it is not said.
+	DataCentre string `json:"data-centre,omitempty"`
 	// HealthPath is the path at which the upstream answers 200 while it considers itself healthy; empty
 	// for none.
 	HealthPath string `json:"health-path,omitempty"`
