Take over leaves whether or not there is room for new ones

Cause: a hand-over stores the union of what the previous replicas hold, which can be more than a record takes of one VM. It was refused with ErrFull then, and the set of replicas could not change until entries ran out.

Change: a hand-over is marked and taken in any case; it is bounded by what the replicas accepted from nodes. Entries that have run out are no longer read or handed over, so that a change of the replicas doesn't renew them. Entries are a map, so that thousands are merged in linear time.

--- a/internal/leavekeeper/message.go
+++ b/internal/leavekeeper/message.go
@@ -31,6 +31,9 @@
 type StoreRequest struct {
 	DiskID  string  `json:"disk-id"`
 	Entries []Entry `json:"entries"`
+	// IsHandOver is true for entries that other replicas have stored. They are stored whether or not there is room for new ones,
+	// since the set of replicas can't change before.
+	IsHandOver bool `json:"is-hand-over,omitempty"`
 	// ReplicasRevision is that of the value under whose replicas the entries are stored; zero if it is not known.
 	ReplicasRevision uint64 `json:"replicas-revision"`
 }
--- a/internal/leavekeeper/model_test.go
+++ b/internal/leavekeeper/model_test.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return leavekeeper.Reply{}, err
 	}
-	return leavekeeper.Reply{}, m.answer(record.Store(request.Entries, request.ReplicasRevision))
+	return leavekeeper.Reply{}, m.answer(record.Store(request))
 }
 
 // ReadLeaves implements leavekeeper.Links.
--- a/internal/leavekeeper/quorum.go
+++ b/internal/leavekeeper/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
@@ -27,10 +28,15 @@
 // Store stores the entries on a majority of each set of replicas of the register's value. The error wraps replicator.ErrNoMajority and
 // the errors of the replicas.
 func (q *Quorum) Store(ctx context.Context, value *replicator.Value, entries []Entry) error {
+	return q.store(ctx, value, StoreRequest{Entries: entries})
+}
+
+// store sends a request to the replicas of the value, with their disks and the revision filled in.
+func (q *Quorum) store(ctx context.Context, value *replicator.Value, request StoreRequest) error {
 	_, err := replicator.AskMajorities(ctx, value, func(ctx context.Context, replica replicator.Replica) (Reply, error) {
-		return q.links.StoreLeaves(ctx, replica.VM, StoreRequest{
-			DiskID: replica.DiskID, Entries: entries, ReplicasRevision: value.ReplicasRevision,
-		})
+		filled := request
+		filled.DiskID, filled.ReplicasRevision = replica.DiskID, value.ReplicasRevision
+		return q.links.StoreLeaves(ctx, replica.VM, filled)
 	})
 	return err
 }
@@ -46,15 +52,13 @@
 	if err != nil {
 		return nil, err
 	}
-	var entries []Entry
+	found := make(map[Entry]bool)
 	for _, reply := range replies {
 		for _, entry := range reply.Entries {
-			if !slices.Contains(entries, entry) {
-				entries = append(entries, entry)
-			}
+			found[entry] = true
 		}
 	}
-	return entries, nil
+	return slices.Collect(maps.Keys(found)), nil
 }
 
 // HandOver implements replicator.Successor: it brings all entries that the previous replicas of a value hold to a majority of its
@@ -64,5 +68,5 @@
 	if err != nil || len(entries) == 0 {
 		return err
 	}
-	return q.Store(ctx, joint, entries)
+	return q.store(ctx, joint, StoreRequest{Entries: entries, IsHandOver: true})
 }
--- a/internal/leavekeeper/record.go
+++ b/internal/leavekeeper/record.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
@@ -36,8 +36,9 @@
 	// writeSlot is a semaphore for whoever writes the record. It is acquired before mu.
 	writeSlot chan struct{}
 
-	mu      sync.Mutex
-	entries []keptEntry
+	mu sync.Mutex
+	// entries holds when each entry was stored last, or read from the disk.
+	entries map[Entry]time.Time
 	// fence is the highest revision of a set of replicas under which the record was read or written.
 	fence uint64
 	// changes counts the changes of entries and fence, and written is the number of those that are on the disk.
@@ -46,12 +47,6 @@
 	writtenFence uint64
 }
 
-// keptEntry is an entry with the time at which it was stored, or read from the disk.
-type keptEntry struct {
-	Entry
-	since time.Time
-}
-
 // storedRecord is the content of the record.
 type storedRecord struct {
 	Entries          []Entry `json:"entries"`
@@ -61,7 +56,10 @@
 // OpenRecord reads the record in the folder, which has no other records. A missing record is an empty one. The error wraps
 // persister.ErrCorrupt if the record is damaged.
 func OpenRecord(clock timekeeper.Clock, folder *persister.Folder) (*Record, error) {
-	r := &Record{clock: clock, folder: folder, waiting: make(chan struct{}, maxWaiting), writeSlot: make(chan struct{}, 1)}
+	r := &Record{
+		clock: clock, entries: make(map[Entry]time.Time), folder: folder, waiting: make(chan struct{}, maxWaiting),
+		writeSlot: make(chan struct{}, 1),
+	}
 	data, err := folder.Read(recordName)
 	if errors.Is(err, persister.ErrMissing) {
 		return r, nil
@@ -75,15 +73,15 @@
 	}
 	r.fence, r.writtenFence = stored.ReplicasRevision, stored.ReplicasRevision
 	for _, entry := range stored.Entries {
-		r.entries = append(r.entries, keptEntry{Entry: entry, since: clock.Now()})
+		r.entries[entry] = clock.Now()
 	}
 	return r, nil
 }
 
-// Store stores the entries. When it returns nil, they survive a loss of power. The error wraps ErrOtherSet, ErrFull or ErrBusy, or
-// is that of the disk; then they may be stored or not.
-func (r *Record) Store(entries []Entry, replicasRevision uint64) error {
-	change, err := r.add(entries, replicasRevision)
+// Store stores the entries of a request. When it returns nil, they survive a loss of power. The error wraps ErrOtherSet, ErrFull or
+// ErrBusy, or is that of the disk; then they may be stored or not.
+func (r *Record) Store(request StoreRequest) error {
+	change, err := r.add(request)
 	if err != nil {
 		return err
 	}
@@ -98,10 +96,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.dropExpired(r.clock.Now())
 	var entries []Entry
-	for _, kept := range r.entries {
-		if vm == "" || kept.VM == vm {
-			entries = append(entries, kept.Entry)
+	for entry := range r.entries {
+		if vm == "" || entry.VM == vm {
+			entries = append(entries, entry)
 		}
 	}
 	return entries, nil
@@ -127,23 +126,22 @@
 }
 
 // add adds the entries in memory, and returns the number of the change after which they are there.
-func (r *Record) add(entries []Entry, replicasRevision uint64) (change uint64, err error) {
+func (r *Record) add(request StoreRequest) (change uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err := r.raiseFence(replicasRevision); err != nil {
+	if err := r.raiseFence(request.ReplicasRevision); err != nil {
 		return 0, err
 	}
 	now := r.clock.Now()
-	for _, entry := range entries {
-		if i := r.index(entry); i >= 0 {
-			r.entries[i].since = now
-			continue
+	r.dropExpired(now)
+	for _, entry := range request.Entries {
+		if _, ok := r.entries[entry]; !ok {
+			if !request.IsHandOver && !r.hasRoom(entry.VM) {
+				return 0, ErrFull
+			}
+			r.changes++
 		}
-		if !r.hasRoom(entry.VM, now) {
-			return 0, ErrFull
-		}
-		r.entries = append(r.entries, keptEntry{Entry: entry, since: now})
-		r.changes++
+		r.entries[entry] = now
 	}
 	return r.changes, nil
 }
@@ -164,18 +162,16 @@
 	return nil
 }
 
-// index returns the index of an entry, or a negative number. It is called with mu held.
-func (r *Record) index(entry Entry) int {
-	return slices.IndexFunc(r.entries, func(kept keptEntry) bool { return kept.Entry == entry })
+// dropExpired drops the entries that have been kept for Retention. It is called with mu held.
+func (r *Record) dropExpired(now time.Time) {
+	maps.DeleteFunc(r.entries, func(_ Entry, since time.Time) bool { return now.Sub(since) >= Retention })
 }
 
-// hasRoom drops the entries that have been kept for Retention, and reports whether there is room for another entry of the node. It is
-// called with mu held.
-func (r *Record) hasRoom(vm string, now time.Time) bool {
-	r.entries = slices.DeleteFunc(r.entries, func(kept keptEntry) bool { return now.Sub(kept.since) >= Retention })
+// hasRoom reports whether there is room for another entry of the node. It is called with mu held.
+func (r *Record) hasRoom(vm string) bool {
 	count := 0
-	for _, kept := range r.entries {
-		if kept.VM == vm {
+	for entry := range r.entries {
+		if entry.VM == vm {
 			count++
 		}
 	}
@@ -220,8 +216,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	content.ReplicasRevision = r.fence
-	for _, kept := range r.entries {
-		content.Entries = append(content.Entries, kept.Entry)
+	for entry := range r.entries {
+		content.Entries = append(content.Entries, entry)
 	}
 	return content, r.changes
 }
--- a/internal/leavekeeper/record_test.go
+++ b/internal/leavekeeper/record_test.go
@@ -54,7 +54,7 @@
 	var storing sync.WaitGroup
 	for i := range 50 {
 		storing.Go(func() {
-			if err := record.Store([]leavekeeper.Entry{entry(fmt.Sprint("vm-", i), 1)}, 1); err != nil {
+			if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry(fmt.Sprint("vm-", i), 1)}, ReplicasRevision: 1}); err != nil {
 				t.Error(err)
 			}
 		})
@@ -74,12 +74,12 @@
 	errFull := errors.New("the disk is full")
 	disk.SetBeforeOperation(func(diskfaker.Operation) error { return errFull })
 	for range 2 {
-		if err := record.Store([]leavekeeper.Entry{entry("vm", 1)}, 1); !errors.Is(err, errFull) {
+		if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry("vm", 1)}, ReplicasRevision: 1}); !errors.Is(err, errFull) {
 			t.Errorf("on a full disk: %v", err)
 		}
 	}
 	disk.SetBeforeOperation(nil)
-	if err := record.Store([]leavekeeper.Entry{entry("vm", 1)}, 1); err != nil {
+	if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry("vm", 1)}, ReplicasRevision: 1}); err != nil {
 		t.Error(err)
 	}
 	disk.LosePower(func(int) int { return 0 })
@@ -98,23 +98,25 @@
 	}
 	disk.LosePower(func(int) int { return 0 })
 	record = openRecord(t, disk)
-	if err := record.Store([]leavekeeper.Entry{entry("vm", 1)}, 6); !errors.Is(err, leavekeeper.ErrOtherSet) {
+	if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry("vm", 1)}, ReplicasRevision: 6}); !errors.Is(err, leavekeeper.ErrOtherSet) {
 		t.Errorf("under an earlier set: %v", err)
 	}
 	if _, err := record.Read("vm", 6); !errors.Is(err, leavekeeper.ErrOtherSet) {
 		t.Errorf("read under an earlier set: %v", err)
 	}
-	if err := record.Store([]leavekeeper.Entry{entry("vm", 1)}, 7); err != nil {
+	if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry("vm", 1)}, ReplicasRevision: 7}); err != nil {
 		t.Errorf("under the set: %v", err)
 	}
 }
 
 // TestRecordIsBounded guards against a record that grows with each replaced upstream, and against a full one that drops what it has
-// acknowledged.
+// acknowledged or that holds up a change of the replicas.
 func TestRecordIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		record := openRecord(t, diskfaker.New())
-		store := func(entries ...leavekeeper.Entry) error { return record.Store(entries, 1) }
+		store := func(entries ...leavekeeper.Entry) error {
+			return record.Store(leavekeeper.StoreRequest{Entries: entries})
+		}
 		refused := 0
 		for born := range int64(100) {
 			if errors.Is(store(entry("vm", 1+born)), leavekeeper.ErrFull) {
@@ -134,7 +136,13 @@
 		if err := store(entries[0]); err != nil {
 			t.Errorf("an entry that is kept: %v", err)
 		}
+		if err := record.Store(leavekeeper.StoreRequest{Entries: entries, IsHandOver: true, ReplicasRevision: 2}); err != nil {
+			t.Errorf("entries that are handed over: %v", err)
+		}
 		time.Sleep(leavekeeper.Retention + time.Second)
+		if got := count(t, record, ""); got != 0 {
+			t.Errorf("%d entries are read after the retention", got)
+		}
 		if err := store(entry("another", 1)); err != nil || record.Len() != 1 {
 			t.Errorf("after the retention: %v, %d entries", err, record.Len())
 		}
@@ -162,7 +170,7 @@
 			storing.Go(func() {
 				time.Sleep(time.Duration(i) * time.Second / leaving)
 				arrived := time.Now()
-				if err := record.Store([]leavekeeper.Entry{entry(fmt.Sprint("vm-", i), 1)}, 1); err != nil {
+				if err := record.Store(leavekeeper.StoreRequest{Entries: []leavekeeper.Entry{entry(fmt.Sprint("vm-", i), 1)}, ReplicasRevision: 1}); err != nil {
 					t.Error(err)
 				}
 				if took := time.Since(arrived); took > 100*time.Millisecond {
--- a/internal/relayer/leaves.go
+++ b/internal/relayer/leaves.go
@@ -68,7 +68,7 @@
 		if err := l.checkDisk(p.DiskID); err != nil {
 			return leavekeeper.Reply{}, rpcError(err)
 		}
-		return leavekeeper.Reply{}, l.served(l.record.Store(p.Entries, p.ReplicasRevision))
+		return leavekeeper.Reply{}, l.served(l.record.Store(p))
 	})
 	addHandler(m, methodReadLeaves, func(_ context.Context, p leavekeeper.ReadRequest) (leavekeeper.Reply, error) {
 		if err := l.checkDisk(p.DiskID); err != nil {
