Tests: processes end with SIGHUP also where the tests were started by nohup

Cause: a process inherits that SIGHUP is ignored, and the stand-in keeps to it. Shown: with SIGHUP ignored in the shell, SigIgn of the stand-in is 1 before the change and 0 with it. The tests' process catches SIGHUP, so that its children have the default action. What is checked is the same.

--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,9 +34,17 @@
 	testSecret   = "a-secret-for-tests-only"
 )
 
+// testProgram is the name under which the tests start this program.
+const testProgram = "marigoldrelay"
+
 func TestMain(m *testing.M) {
+	if filepath.Base(os.Args[0]) != testProgram {
+		// The processes that tests start would inherit that SIGHUP is ignored, as it is under nohup, and not end with it. A
+		// signal that is caught has its default action in them.
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
 	testscript.Main(m, map[string]func(){
-		"marigoldrelay": func() { os.Exit(Main(os.Args)) },
+		testProgram: func() { os.Exit(Main(os.Args)) },
 	})
 }
 
