Don't read the register to learn the replicas for leaves

Cause: a node that could not read its leaves, since the replicas had been replaced meanwhile, read the register to learn the new ones. Such a read fetches the document from each replica; after the loss of all nodes and two disks, 69 nodes did so beside the first fetch of a grown document, over links of 3.4 Mbit/s.

Change: it waits for the value that names the new replicas, which is pushed to all nodes anyway.

TestAcknowledgedLeaveOutlivesNodes holds, with replaced replicas and lost disks.

--- a/internal/relayer/leaves.go
+++ b/internal/relayer/leaves.go
@@ -113,7 +113,8 @@
 	return reply, err
 }
 
-// StoreEntries implements leavekeeper.Store. After an error it reads the register, since its replicas may have been replaced.
+// StoreEntries implements leavekeeper.Store. If the replicas have been replaced, it succeeds once the value that names the new ones has
+// come: it is pushed to all nodes. To read the register instead would fetch the document from each replica.
 func (l *leaves) StoreEntries(ctx context.Context, entries []leavekeeper.Entry) error {
 	value := l.node.registerValue()
 	if value == nil {
@@ -122,18 +123,7 @@
 	if !l.node.acceptsChanges() {
 		return ErrTooFewReplicas
 	}
-	err := l.quorum.Store(ctx, value, entries)
-	if err != nil {
-		l.refresh(ctx)
-	}
-	return err
-}
-
-// refresh reads the register, so that a set of replicas that has replaced the one of the value in force becomes known.
-func (l *leaves) refresh(ctx context.Context) {
-	if _, err := l.node.register.Read(ctx); err != nil {
-		l.node.log.Debug("The register can't be read for its replicas.", "error", err)
-	}
+	return l.quorum.Store(ctx, value, entries)
 }
 
 // LeavesStored implements leavekeeper.Observer.
@@ -160,7 +150,8 @@
 }
 
 // recall reads which processes of the upstream have said to earlier processes of this node that they leave, once, until that
-// succeeds or ctx is done. The upstream is served meanwhile.
+// succeeds or ctx is done. The upstream is served meanwhile. If the replicas have been replaced, it succeeds once the value that names the
+// new ones has come.
 func (l *leaves) recall(ctx context.Context) {
 	n := l.node
 	wait := recallInterval
@@ -181,7 +172,6 @@
 		}
 		n.meter.Event("leave_recalls_failed")
 		n.events.write(false, "The leaves of the upstream can't be read yet.", "error", err)
-		l.refresh(ctx)
 		timekeeper.Sleep(ctx, n.clock, wait)
 		wait = min(2*wait, maxRecallInterval)
 	}
