Let another replica push to members that this node doesn't reach

Cause: the pushes of a value rested on the node that got it chosen. When two machines of the core are cut from all others so that new connections are refused, one of them still gets changes chosen over the kept connections to the replicas, pushes the value to these, and reaches nobody else. The learners of the other replicas look for values that are not in force there, and it was. Gossip alone carried it.

Change: a push that fails twice, or has no answer for 0.6 s, is handed to another replica, which pushes its own value to that member; small messages over kept connections.

--- a/internal/distributor/pusher.go
+++ b/internal/distributor/pusher.go
@@ -11,8 +11,19 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
-// pushRetryInterval is the time between two attempts to push a value to a member.
-const pushRetryInterval = 150 * time.Millisecond
+const (
+	// pushRetryInterval is the time between two attempts to push a value to a member.
+	pushRetryInterval = 150 * time.Millisecond
+	// deputyDelay is how long this node waits for the answer to a push before another node is asked as well: a kept connection
+	// that is silent costs half of it.
+	deputyDelay = 600 * time.Millisecond
+	// deputyTimeout limits the time that another node has to push a value.
+	deputyTimeout = time.Second
+	// firstDeputyFailure is the failed attempt after which another node is asked to push, and deputyInterval the number of
+	// attempts until the next one is asked.
+	firstDeputyFailure = 2
+	deputyInterval     = 4
+)
 
 // errNoMember is the error of a member that is no longer pushed to.
 var errNoMember = errors.New("the member is gone")
@@ -25,12 +36,16 @@
 	LiveMember(name string) (gossiper.Member, bool)
 	// Push sends a value to a member. A member that has a newer one ignores it.
 	Push(ctx context.Context, to gossiper.Member, value Document) error
+	// PushByDeputy asks another node, which has the value or a newer one in force, to push that to a member. It returns nil if
+	// it has arrived.
+	PushByDeputy(ctx context.Context, to gossiper.Member, revision uint64) error
 	// PushFailed is called for each attempt that failed.
 	PushFailed(to gossiper.Member, err error)
 }
 
 // Pusher sends each chosen value to all members, and again until it has arrived, a newer one takes its place, or the member
-// is gone. Each member gets one message at a time, the newest. It is safe for concurrent use.
+// is gone. Each member gets one message at a time, the newest. Where that fails, another node is asked to send it: this node may
+// reach the replicas, and so get a value chosen, and nobody else. It is safe for concurrent use.
 type Pusher struct {
 	clock timekeeper.Clock
 	node  PushNode
@@ -45,6 +60,8 @@
 	newest Document
 	// active holds the names of the members that are being pushed to.
 	active map[string]bool
+	// lastPacked is the document of the value that was last pushed for another node.
+	lastPacked Document
 }
 
 // NewPusher returns a pusher for a node.
@@ -91,11 +108,11 @@
 
 // deliver sends the newest value to a member until it has arrived.
 func (p *Pusher) deliver(name string) {
-	for {
+	for failures := 0; ; failures++ {
 		p.mu.Lock()
 		document := p.newest
 		p.mu.Unlock()
-		err := p.pushOnce(name, document)
+		err := p.attempt(name, document, failures)
 		if err == nil || errors.Is(err, errNoMember) {
 			if p.finish(name, document, err == nil) {
 				return
@@ -107,18 +124,77 @@
 }
 
 // pushOnce sends a value to a member. The error is errNoMember if the member is gone or the pusher is closed.
-func (p *Pusher) pushOnce(name string, document Document) error {
+func (p *Pusher) pushOnce(ctx context.Context, name string, document Document) error {
 	member, ok := p.node.LiveMember(name)
 	if !ok || p.ctx.Err() != nil {
 		return errNoMember
 	}
-	err := p.node.Push(p.ctx, member, document)
-	if err != nil && p.ctx.Err() == nil {
+	err := p.node.Push(ctx, member, document)
+	if err != nil && ctx.Err() == nil {
 		p.node.PushFailed(member, err)
 	}
 	return err
 }
 
+// attempt sends a value to a member, or lets a deputy do so: if this node fails and isDeputyDue, or has got no answer for
+// deputyDelay. The errors are those of pushOnce.
+func (p *Pusher) attempt(name string, document Document, failures int) error {
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	own := make(chan error, 1)
+	go func() { own <- p.pushOnce(ctx, name, document) }()
+	overdue := make(chan struct{})
+	timer := p.clock.AfterFunc(deputyDelay, func() { close(overdue) })
+	defer timer.Stop()
+	select {
+	case err := <-own:
+		if isDeputyDue(failures, err) {
+			return p.pushByDeputy(name, document)
+		}
+		return err
+	case <-overdue:
+		if err := p.pushByDeputy(name, document); err == nil {
+			return nil
+		}
+		return <-own
+	}
+}
+
+// isDeputyDue reports whether another node is to push a value after an attempt with the error and a number of failed ones before it.
+func isDeputyDue(failures int, err error) bool {
+	return err != nil && !errors.Is(err, errNoMember) && failures%deputyInterval == firstDeputyFailure-1
+}
+
+// pushByDeputy asks another node to push a value to a member. The errors are those of pushOnce.
+func (p *Pusher) pushByDeputy(name string, document Document) error {
+	member, ok := p.node.LiveMember(name)
+	if !ok || p.ctx.Err() != nil {
+		return errNoMember
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, deputyTimeout)
+	defer cancel()
+	return p.node.PushByDeputy(ctx, member, document.Revision)
+}
+
+// PushFor pushes a value once to one member, for a node that doesn't reach it. The error is errNoMember if the member is not known.
+func (p *Pusher) PushFor(ctx context.Context, name string, value *replicator.Value) error {
+	member, ok := p.node.LiveMember(name)
+	if !ok {
+		return errNoMember
+	}
+	return p.node.Push(ctx, member, p.packed(value))
+}
+
+// packed returns the document of a value. It keeps that of the last one, since many members may be asked for at once.
+func (p *Pusher) packed(value *replicator.Value) Document {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastPacked.Revision != value.Revision {
+		p.lastPacked = NewDocument(value)
+	}
+	return p.lastPacked
+}
+
 // finish ends the pushing to a member, unless the value that has arrived is no longer the newest. It reports whether it did.
 func (p *Pusher) finish(name string, document Document, hasArrived bool) bool {
 	p.mu.Lock()
--- a/internal/distributor/pusher_test.go
+++ b/internal/distributor/pusher_test.go
@@ -23,10 +23,15 @@
 	// arrived holds the revisions that have arrived at each, and sent the number of attempts.
 	arrived map[string][]uint64
 	sent    map[string]int
+	// refusing holds the names of those that refuse connections of this node, which deputies reach if there are any.
+	refusing    map[string]bool
+	hasDeputies bool
+	// deputies is the number of times that one was asked.
+	deputies int
 }
 
 func newScriptedMembers(count int) *scriptedMembers {
-	s := &scriptedMembers{cutOff: make(map[string]bool), arrived: make(map[string][]uint64), sent: make(map[string]int)}
+	s := &scriptedMembers{cutOff: make(map[string]bool), arrived: make(map[string][]uint64), sent: make(map[string]int), refusing: make(map[string]bool)}
 	for i := range count {
 		s.live = append(s.live, fmt.Sprint("m", i))
 	}
@@ -55,8 +60,11 @@
 func (s *scriptedMembers) Push(_ context.Context, to gossiper.Member, value Document) error {
 	s.mu.Lock()
 	s.sent[to.Name]++
-	isCutOff := s.cutOff[to.Name]
+	isCutOff, isRefusing := s.cutOff[to.Name], s.refusing[to.Name]
 	s.mu.Unlock()
+	if isRefusing {
+		return errUnreachable
+	}
 	if isCutOff {
 		time.Sleep(2 * time.Second)
 		return errUnreachable
@@ -68,6 +76,21 @@
 	return nil
 }
 
+// PushByDeputy implements PushNode.
+func (s *scriptedMembers) PushByDeputy(ctx context.Context, to gossiper.Member, revision uint64) error {
+	s.mu.Lock()
+	s.deputies++
+	isReached := s.refusing[to.Name] && s.hasDeputies
+	s.mu.Unlock()
+	if !isReached {
+		return errUnreachable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived[to.Name] = append(s.arrived[to.Name], revision)
+	return ctx.Err()
+}
+
 // PushFailed implements PushNode.
 func (s *scriptedMembers) PushFailed(gossiper.Member, error) {}
 
@@ -148,3 +171,32 @@
 		p.Close()
 	})
 }
+
+// TestDeputiesPushToUnreachedMembers guards against a value that its node alone pushes, though it reaches the other replicas and nobody
+// else, and against members that are pushed to for good after a deputy has reached them.
+func TestDeputiesPushToUnreachedMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newScriptedMembers(6)
+		members.hasDeputies = true
+		members.refusing["m1"], members.refusing["m4"] = true, true
+		pusher := NewPusher(timekeeper.System{}, members)
+		defer pusher.Close()
+		for revision := range uint64(3) {
+			pusher.Push(&replicator.Value{Revision: 1 + revision})
+			time.Sleep(pushRetryInterval + 100*time.Millisecond)
+			synctest.Wait()
+			members.mu.Lock()
+			for _, name := range members.live {
+				if got := members.arrived[name]; !slices.Contains(got, 1+revision) {
+					t.Errorf("revision %d has not arrived at %s: %v", 1+revision, name, got)
+				}
+			}
+			members.mu.Unlock()
+		}
+		sent := members.sent["m1"]
+		time.Sleep(time.Minute)
+		if members.sent["m1"] != sent || members.deputies != 6 {
+			t.Errorf("%d further pushes to a member that has the value, deputies asked %d times", members.sent["m1"]-sent, members.deputies)
+		}
+	})
+}
--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -36,6 +36,8 @@
 	lossPercent int
 	packetConns map[netip.AddrPort]*memoryPacketConn
 	random      *rand.Rand
+	// refused holds the ways on which new connections are refused.
+	refused map[link]bool
 }
 
 // link is the way from one VM to another.
@@ -58,7 +60,7 @@
 	return &memoryNetwork{
 		conns: make(map[*memoryConn]struct{}), cuts: make(map[link]bool), dark: make(map[netip.Addr]bool),
 		listeners: make(map[netip.AddrPort]*memoryListener), packetConns: make(map[netip.AddrPort]*memoryPacketConn),
-		random: rand.New(rand.NewPCG(seed, 42)),
+		random: rand.New(rand.NewPCG(seed, 42)), refused: make(map[link]bool),
 	}
 }
 
@@ -102,6 +104,18 @@
 	}
 }
 
+// refuse cuts the group of VMs off from the others; new connections between them are refused at once.
+func (m *memoryNetwork) refuse(some, others map[netip.Addr]bool) {
+	m.cut(some, others, true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a := range some {
+		for b := range others {
+			m.refused[link{a, b}], m.refused[link{b, a}] = true, true
+		}
+	}
+}
+
 // cutPower makes a VM disappear without closing its connections.
 func (m *memoryNetwork) cutPower(vm netip.Addr) {
 	m.mu.Lock()
@@ -126,6 +140,10 @@
 	time.Sleep(2 * memoryLatency)
 	v.mu.Lock()
 	listener := v.listeners[address]
+	if v.refused[link{v.vm, address.Addr()}] {
+		v.mu.Unlock()
+		return nil, errNoListener
+	}
 	if !v.reaches(v.vm, address.Addr()) {
 		v.mu.Unlock()
 		time.Sleep(timeout)
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -30,6 +30,7 @@
 	methodAccept   = "accept"
 	methodChange   = "change"
 	methodConfirm  = "confirm"
+	methodDeputy   = "deputy"
 	methodDocument = "document"
 	methodPrepare  = "prepare"
 	methodPush     = "push"
@@ -226,6 +227,9 @@
 	addHandler(m, methodPush, func(_ context.Context, p distributor.Document) (emptyMessage, error) {
 		return emptyMessage{}, r.node.activatePacked(&p, sourcePush)
 	})
+	addHandler(m, methodDeputy, func(ctx context.Context, p deputyRequest) (emptyMessage, error) {
+		return emptyMessage{}, rpcError(r.pushFor(ctx, p))
+	})
 	addHandler(m, methodRelay, func(ctx context.Context, p distributor.Document) (relayReply, error) {
 		if err := r.node.activatePacked(&p, sourcePush); err != nil {
 			return relayReply{}, err
@@ -234,6 +238,12 @@
 	})
 }
 
+// deputyRequest asks a node to push its value, if it has the revision or a newer one, to a member that the sender doesn't reach.
+type deputyRequest struct {
+	Member   string `json:"member"`
+	Revision uint64 `json:"revision"`
+}
+
 // relayReply names the members to which a relay has passed a value on.
 type relayReply struct {
 	Reached []string `json:"reached"`
--- a/internal/relayer/registerlinks.go
+++ b/internal/relayer/registerlinks.go
@@ -2,6 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
@@ -60,6 +66,37 @@
 	return reply.Reached, err
 }
 
+// PushByDeputy implements distributor.PushNode. The deputy is a random other replica: the value has been chosen by a majority of them,
+// so that this node reaches some.
+func (r *register) PushByDeputy(ctx context.Context, to gossiper.Member, revision uint64) error {
+	deputies := slices.DeleteFunc(r.LiveMembers(), func(m gossiper.Member) bool { return m.DiskID == "" || m.Name == to.Name })
+	if len(deputies) == 0 {
+		return errNoDeputy
+	}
+	deputy := deputies[rand.IntN(len(deputies))]
+	r.node.meter.Event("pushes_by_deputy")
+	return r.node.messenger.Call(ctx, deputy.Control, messenger.PurposeConfiguration, methodDeputy, deputyRequest{Member: to.Name, Revision: revision}, nil)
+}
+
+// pushFor pushes the value in force to a member, once, for another node.
+func (r *register) pushFor(ctx context.Context, request deputyRequest) error {
+	local := r.Local()
+	if local == nil || local.Revision < request.Revision {
+		return fmt.Errorf("%w: revision %d", errNotInForce, request.Revision)
+	}
+	ctx, cancel := context.WithTimeout(ctx, deputyPushTimeout)
+	defer cancel()
+	return r.pusher.PushFor(ctx, request.Member, local)
+}
+
+// deputyPushTimeout limits how long a node pushes a value for another one, which waits a little longer.
+const deputyPushTimeout = 900 * time.Millisecond
+
+var (
+	errNoDeputy   = merry.Sentinel("no other node with a disk is known")
+	errNotInForce = merry.Sentinel("the value is not in force here yet")
+)
+
 // PushFailed implements distributor.PushNode.
 func (r *register) PushFailed(to gossiper.Member, err error) {
 	r.node.meter.Event("pushes_failed")
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -88,6 +88,9 @@
 	// actionCut cuts the nodes off from all others, and actionHeal ends that. They count as in touch again a settle time after.
 	actionCut  spreadAction = "cut"
 	actionHeal spreadAction = "heal"
+	// actionRefuse makes the nodes reach nobody but each other and the other nodes with a disk: new connections are refused. All
+	// still count as in touch.
+	actionRefuse spreadAction = "refuse"
 	// actionChangeAndCutPower sends a change to the first of the nodes; all of them lose power as it is acknowledged.
 	actionChangeAndCutPower spreadAction = "change-and-cut-power"
 	// actionChangeAndCut is the same with a cut of the nodes from all others.
@@ -306,6 +309,8 @@
 		}
 	case actionCut:
 		f.cut(step.Nodes)
+	case actionRefuse:
+		f.refuse(step.Nodes)
 	case actionHeal:
 		f.heal(step.Nodes)
 	case actionChangeAndCut:
@@ -469,6 +474,15 @@
 	f.network.cut(some, others, true)
 }
 
+// refuse makes the nodes reach nobody without a disk.
+func (f *spreadFleet) refuse(numbers []int) {
+	some, others := f.group(numbers)
+	for number := range spreadReplicas {
+		delete(others, f.vms[number])
+	}
+	f.network.refuse(some, others)
+}
+
 // heal ends a cut of the nodes, and waits until they count as in touch.
 func (f *spreadFleet) heal(numbers []int) {
 	some, others := f.group(numbers)
