Close connections between nodes that open after the end of the node

Cause: Abort closes the connections that are ready; one that was being dialled became ready later and stayed open until the peer closed it.

Change: a connection becomes ready under the messenger's lock, and is closed if the messenger was closed meanwhile. A failed one is removed in the same step.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -324,26 +324,42 @@
 
 // open dials and authenticates the connection out, which is removed when it fails or disconnects.
 func (m *Messenger) open(to endpoint, out *outgoingConn) {
-	defer close(out.ready)
 	raw, err := m.dial(to.address, dialTimeout)
 	if err == nil {
 		err = handshakeClient(raw, m.key, to.purpose)
-		if err != nil {
+	}
+	if !m.becomeReady(to, out, raw, err) {
+		if raw != nil {
 			_ = raw.Close()
 		}
-	}
-	if err != nil {
-		out.err = err
-		m.removeOutgoing(to, out)
 		return
 	}
-	out.conn = m.newConn(raw, to.purpose)
 	go func() {
 		<-out.conn.DisconnectNotify()
 		m.removeOutgoing(to, out)
 	}()
 }
 
+// becomeReady makes the connection out ready and reports whether it is open. If it couldn't be opened, or the messenger was closed
+// meanwhile, it gets the error and is removed. Abort, which holds the same lock, closes the connections that are ready.
+func (m *Messenger) becomeReady(to endpoint, out *outgoingConn, raw net.Conn, err error) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer close(out.ready)
+	if err == nil && m.closed {
+		err = ErrClosed
+	}
+	if err != nil {
+		out.err = err
+		if m.outgoing[to] == out {
+			delete(m.outgoing, to)
+		}
+		return false
+	}
+	out.conn = m.newConn(raw, to.purpose)
+	return true
+}
+
 // removeOutgoing removes out, unless another connection has replaced it.
 func (m *Messenger) removeOutgoing(to endpoint, out *outgoingConn) {
 	m.mu.Lock()
@@ -399,8 +415,8 @@
 	}
 }
 
-// Abort closes the listener and every connection except those that are still being dialled. Further calls return
-// ErrClosed.
+// Abort closes the listener and every connection; those that are still being dialled are closed once they are open. Further calls
+// return ErrClosed.
 func (m *Messenger) Abort() {
 	m.mu.Lock()
 	m.closing = true
