--- a/internal/distributor/pusher.go
+++ b/internal/distributor/pusher.go
@@ -125,11 +125,11 @@
 
 // pushOnce sends a value to a member. The error is errNoMember if the member is gone or the pusher is closed.
 func (p *Pusher) pushOnce(ctx context.Context, name string, document Document) error {
-	member, ok := p.node.LiveMember(name)
-	if !ok || p.ctx.Err() != nil {
-		return errNoMember
+	member, err := p.member(name)
+	if err != nil {
+		return err
 	}
-	err := p.node.Push(ctx, member, document)
+	err = p.node.Push(ctx, member, document)
 	if err != nil && ctx.Err() == nil {
 		p.node.PushFailed(member, err)
 	}
@@ -167,20 +167,29 @@
 
 // pushByDeputy asks another node to push a value to a member. The errors are those of pushOnce.
 func (p *Pusher) pushByDeputy(name string, document Document) error {
-	member, ok := p.node.LiveMember(name)
-	if !ok || p.ctx.Err() != nil {
-		return errNoMember
+	member, err := p.member(name)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, deputyTimeout)
 	defer cancel()
 	return p.node.PushByDeputy(ctx, member, document.Revision)
 }
 
-// PushFor pushes a value once to one member, for a node that doesn't reach it. The error is errNoMember if the member is not known.
-func (p *Pusher) PushFor(ctx context.Context, name string, value *replicator.Value) error {
+// member returns a member. The error is errNoMember if it is gone or the pusher is closed.
+func (p *Pusher) member(name string) (gossiper.Member, error) {
 	member, ok := p.node.LiveMember(name)
-	if !ok {
-		return errNoMember
+	if !ok || p.ctx.Err() != nil {
+		return gossiper.Member{}, errNoMember
+	}
+	return member, nil
+}
+
+// PushFor pushes a value once to one member, for a node that doesn't reach it. The errors are those of pushOnce.
+func (p *Pusher) PushFor(ctx context.Context, name string, value *replicator.Value) error {
+	member, err := p.member(name)
+	if err != nil {
+		return err
 	}
 	return p.node.Push(ctx, member, p.packed(value))
 }
--- a/internal/leavekeeper/writer.go
+++ b/internal/leavekeeper/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -24,6 +25,11 @@
 // ErrNotStored is wrapped by the error of a leave that is not known to be stored yet.
 var ErrNotStored = merry.Sentinel("the leave is not stored yet")
 
+// IsNotStored reports whether the error of Confirm, or one that wraps it, is of a leave that is not known to be stored.
+func IsNotStored(err error) bool {
+	return errors.Is(err, ErrNotStored) || errors.Is(err, ErrFull)
+}
+
 // Store stores entries durably.
 type Store interface {
 	StoreEntries(ctx context.Context, entries []Entry) error
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -351,9 +351,7 @@
 	}
 	if err != nil {
 		out.err = err
-		if m.outgoing[to] == out {
-			delete(m.outgoing, to)
-		}
+		m.forget(to, out)
 		return false
 	}
 	out.conn = m.newConn(raw, to.purpose)
@@ -364,6 +362,11 @@
 func (m *Messenger) removeOutgoing(to endpoint, out *outgoingConn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.forget(to, out)
+}
+
+// forget does what removeOutgoing does. It is called with mu held.
+func (m *Messenger) forget(to endpoint, out *outgoingConn) {
 	if m.outgoing[to] == out {
 		delete(m.outgoing, to)
 	}
--- a/internal/relayer/serve.go
+++ b/internal/relayer/serve.go
@@ -96,7 +96,7 @@
 
 // announceRefusal returns the reason for which an announcement is not acknowledged.
 func announceRefusal(err error) refuser.Reason {
-	if errors.Is(err, leavekeeper.ErrNotStored) || errors.Is(err, leavekeeper.ErrFull) {
+	if leavekeeper.IsNotStored(err) {
 		return refuser.ReasonLeaveNotStored
 	}
 	return refuser.ReasonBadRequest
