--- /dev/null
+++ b/internal/relayer/registervalue.go
@@ -0,0 +1,107 @@
+package relayer
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/asserter"
+	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
+	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+	"github.com/marigoldrelay/marigoldrelay/internal/validator"
+)
+
+// valueSource is the way in which a value of the register reaches a node.
+type valueSource string
+
+const (
+	// sourceFetch is a request to a member that has told of a newer revision.
+	sourceFetch valueSource = "fetch"
+	// sourceLeader is the leader's reply to a change that was passed on to it.
+	sourceLeader valueSource = "leader"
+	// sourcePush is a message of the node that has got the value chosen.
+	sourcePush valueSource = "push"
+	// sourceRound is a round or a read of this node.
+	sourceRound valueSource = "round"
+)
+
+// activatePacked puts a document from another node in force, unless the current one is as new or newer.
+func (n *Node) activatePacked(p *distributor.Document, source valueSource) error {
+	if p.Revision <= n.revision() {
+		return nil
+	}
+	value, err := p.Value()
+	if err != nil {
+		return err
+	}
+	return n.activateValue(value, source)
+}
+
+// activateValue puts a value of the register in force, unless the current one is as new or newer. It returns an error
+// for a value of another deployment or with a document that is not valid.
+func (n *Node) activateValue(value *replicator.Value, source valueSource) error {
+	// The same document can come in several ways at once, and takes long to parse on a slow VM.
+	n.parseMu.Lock()
+	defer n.parseMu.Unlock()
+	if local := n.register.Local(); local != nil && local.Deployment != value.Deployment {
+		n.meter.Event("foreign_documents")
+		return fmt.Errorf("document of another deployment: %s, not %s", value.Deployment, local.Deployment)
+	}
+	if value.Revision <= n.revision() {
+		return nil
+	}
+	document, err := n.documentOf(value)
+	if err != nil {
+		return err
+	}
+	if n.activate(document, value) {
+		n.meter.Event("values_by_" + string(source))
+		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
+			"replicas", len(value.Replicas), "source", source)
+		n.register.proposer.SetConfirmedReplicas(value.Replicas)
+	}
+	return nil
+}
+
+// documentOf returns the document of a value, or nil before the first version. The document in force is not parsed
+// again.
+func (n *Node) documentOf(value *replicator.Value) (*validator.Document, error) {
+	if value.Version == 0 {
+		return nil, nil
+	}
+	current := n.active.Load()
+	if current != nil && current.value != nil && current.value.Version == value.Version && current.value.Text == value.Text {
+		return current.document, nil
+	}
+	document, err := n.parseDocument([]byte(value.Text))
+	if !asserter.That(err == nil, "register-valid", "version %d: %v", value.Version, err) {
+		return nil, err
+	}
+	return document, nil
+}
+
+// registerValue returns the value of the register that is in force, or nil if none with replicas is.
+func (n *Node) registerValue() *replicator.Value {
+	if value := n.register.Local(); value != nil && len(value.Replicas) > 0 {
+		return value
+	}
+	return nil
+}
+
+// expectsRegister reports whether the deployment has a register although this node has no value of it yet: it has a data folder
+// itself, or knows a member with one, or can't know because it has just started.
+func (n *Node) expectsRegister() bool {
+	if n.settings.DataFolder != "" || n.settings.SelfForming {
+		return true
+	}
+	hasDisk := func(m gossiper.Member) bool { return m.DiskID != "" }
+	return slices.ContainsFunc(n.gossiper.Members(), hasDisk) || len(n.settings.Seeds) > 0 && len(n.livePeers()) == 0
+}
+
+// revision returns the revision of the register's value that is in force, or zero.
+func (n *Node) revision() uint64 {
+	if value := n.register.Local(); value != nil {
+		return value.Revision
+	}
+	return 0
+}
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -7,23 +7,17 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/valyala/fasthttp"
 
-	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
 	"github.com/marigoldrelay/marigoldrelay/internal/relayer"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/signer"
-	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
 )
 
@@ -149,32 +143,6 @@
 	playScenarios(t, pattern, func(t *testing.T, scenario *spreadScenario) { playSpread(t, scenario, relayed) })
 }
 
-// playScenarios plays the scenario in each data file that matches the pattern, in virtual time.
-func playScenarios[S any](t *testing.T, pattern string, play func(t *testing.T, scenario *S)) {
-	t.Helper()
-	files, err := filepath.Glob(pattern)
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scenarios: %v", err)
-	}
-	// The HTTP library's clock starts with the first answer that is written and never stops, so this starts it outside
-	// the synctest bubble.
-	carrier.EncodeResponse(&fasthttp.Response{})
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
-			skipper.KnownRed(t)
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			scenario := new(S)
-			if err := validator.DecodeStrict(text, scenario); err != nil {
-				t.Fatal(err)
-			}
-			synctest.Test(t, func(t *testing.T) { play(t, scenario) })
-		})
-	}
-}
-
 // playSpread plays a scenario.
 func playSpread(t *testing.T, scenario *spreadScenario, relayed bool) {
 	f := newSpreadFleet(t, scenario, relayed)
