Soak of spreading: cut nobody off when there is nobody to disturb

Traced on a scratch copy with the nodes' lines: in 5 of 5 failures the pick of nodes to disturb was empty (all of it had a disk and was struck out). group returns all nodes twice for an empty list, so that all were cut off from each other for up to 10 s while none was marked as disturbed.

Change: an empty pick does nothing.

--- a/internal/relayer/spreadsoak_test.go
+++ b/internal/relayer/spreadsoak_test.go
@@ -13,7 +13,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/carrier"
-	"github.com/marigoldrelay/marigoldrelay/internal/skipper"
 )
 
 var (
@@ -60,7 +59,6 @@
 // TestSoakOfSpreading guards against a change that is acknowledged and not in force in time at a node in touch, while connections
 // turn silent, nodes are cut off, lose power or are restarted, and datagrams are lost, at random and at the same time.
 func TestSoakOfSpreading(t *testing.T) {
-	skipper.KnownRed(t)
 	carrier.EncodeResponse(&fasthttp.Response{})
 	for seed := *spreadFirst; seed < *spreadFirst+*spreadSeeds; seed++ {
 		synctest.Test(t, func(t *testing.T) { playChurn(t, seed) })
@@ -118,7 +116,8 @@
 		time.Sleep(settleTime + 2*applyBound)
 	}
 	core := slices.DeleteFunc(slices.Clone(numbers), func(number int) bool { return number >= spreadReplicas })
-	if len(core) > lossLimit || ctx.Err() != nil {
+	// Without numbers, group returns all nodes twice: all would be cut off from each other, and count as in touch.
+	if len(numbers) == 0 || len(core) > lossLimit || ctx.Err() != nil {
 		return
 	}
 	duration := time.Duration(c.random.intn(10000)) * time.Millisecond
