--- a/internal/distributor/pusher.go
+++ b/internal/distributor/pusher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
@@ -141,22 +142,22 @@
 func (p *Pusher) attempt(name string, document Document, failures int) error {
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	own := make(chan error, 1)
-	go func() { own <- p.pushOnce(ctx, name, document) }()
-	overdue := make(chan struct{})
-	timer := p.clock.AfterFunc(deputyDelay, func() { close(overdue) })
-	defer timer.Stop()
-	select {
-	case err := <-own:
-		if isDeputyDue(failures, err) {
-			return p.pushByDeputy(name, document)
+	var hasArrived atomic.Bool
+	timer := p.clock.AfterFunc(deputyDelay, func() {
+		if p.pushByDeputy(name, document) == nil {
+			hasArrived.Store(true)
+			cancel()
 		}
+	})
+	defer timer.Stop()
+	err := p.pushOnce(ctx, name, document)
+	switch {
+	case hasArrived.Load():
+		return nil
+	case isDeputyDue(failures, err):
+		return p.pushByDeputy(name, document)
+	default:
 		return err
-	case <-overdue:
-		if err := p.pushByDeputy(name, document); err == nil {
-			return nil
-		}
-		return <-own
 	}
 }
 
