--- a/internal/relayer/identity_test.go
+++ b/internal/relayer/identity_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/marigoldrelay/marigoldrelay/internal/leavekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/refuser"
 	"github.com/marigoldrelay/marigoldrelay/internal/registrar"
 	"github.com/marigoldrelay/marigoldrelay/internal/settingsreader"
 	"github.com/marigoldrelay/marigoldrelay/internal/validator"
@@ -138,3 +141,22 @@
 		t.Errorf("requests come from %q", got)
 	}
 }
+
+// TestAnnounceRefusals guards against a leave that isn't stored and is answered as if the upstream had said something wrong, after which
+// it would not ask again.
+func TestAnnounceRefusals(t *testing.T) {
+	for _, test := range []struct {
+		err    error
+		status int
+	}{
+		{fmt.Errorf("%w: cut off", leavekeeper.ErrNotStored), 503},
+		{leavekeeper.ErrFull, 503},
+		{registrar.ErrInvalid, 400},
+		{registrar.ErrOutdated, 400},
+		{ErrOtherUpstream, 400},
+	} {
+		if got := refuser.New(announceRefusal(test.err), "").Status(); got != test.status {
+			t.Errorf("%v: status %d, want %d", test.err, got, test.status)
+		}
+	}
+}
