--- a/internal/relayer/registervalue.go
+++ b/internal/relayer/registervalue.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/asserter"
 	"github.com/marigoldrelay/marigoldrelay/internal/distributor"
@@ -25,21 +26,37 @@
 	sourceRound valueSource = "round"
 )
 
+// arrival tells how a value of the register has reached a node.
+type arrival struct {
+	source valueSource
+	// at is when the message with the value had been read, or the round was over.
+	at time.Time
+	// bytes is the size of the compressed text in the message; zero if there was none.
+	bytes int
+}
+
 // activatePacked puts a document from another node in force, unless the current one is as new or newer.
 func (n *Node) activatePacked(p *distributor.Document, source valueSource) error {
+	arrived := arrival{source: source, at: n.clock.Now(), bytes: len(p.Packed)}
 	if p.Revision <= n.revision() {
+		n.meter.Event("values_arrived_again")
 		return nil
 	}
 	value, err := p.Value()
 	if err != nil {
 		return err
 	}
-	return n.activateValue(value, source)
+	return n.activateArrived(value, arrived)
 }
 
-// activateValue puts a value of the register in force, unless the current one is as new or newer. It returns an error
-// for a value of another deployment or with a document that is not valid.
+// activateValue puts a value of the register in force that came without a message, as activateArrived does.
 func (n *Node) activateValue(value *replicator.Value, source valueSource) error {
+	return n.activateArrived(value, arrival{source: source, at: n.clock.Now()})
+}
+
+// activateArrived puts a value of the register in force, unless the current one is as new or newer. It returns an error
+// for a value of another deployment or with a document that is not valid.
+func (n *Node) activateArrived(value *replicator.Value, arrived arrival) error {
 	// The same document can come in several ways at once, and takes long to parse on a slow VM.
 	n.parseMu.Lock()
 	defer n.parseMu.Unlock()
@@ -55,9 +72,10 @@
 		return err
 	}
 	if n.activate(document, value) {
-		n.meter.Event("values_by_" + string(source))
+		n.meter.Event("values_by_" + string(arrived.source))
 		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
-			"replicas", len(value.Replicas), "source", source)
+			"replicas", len(value.Replicas), "source", arrived.source, "text-bytes", len(value.Text), "packed-bytes", arrived.bytes,
+			"took", n.clock.Now().Sub(arrived.at), "arrived-again", n.meter.EventCount("values_arrived_again"))
 		n.register.proposer.SetConfirmedReplicas(value.Replicas)
 	}
 	return nil
