--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -38,6 +38,30 @@
 	random      *rand.Rand
 	// refused holds the ways on which new connections are refused.
 	refused map[link]bool
+	// lines holds the line of each VM that has a thin one.
+	lines map[netip.Addr]*memoryLine
+}
+
+// memoryLine is the line of a VM to the network. Bytes wait for their turn in each direction, also those of calls that were
+// given up.
+type memoryLine struct {
+	bytesPerSecond float64
+	// outFree and inFree are when the last byte so far has left and arrived.
+	outFree, inFree time.Time
+	// sent and received count the bytes, and longest is the longest wait for a turn in either direction.
+	sent, received int
+	longest        time.Duration
+}
+
+// pass returns when bytes that come at the time have gone through one direction of the line, which is free from then on.
+func (l *memoryLine) pass(free *time.Time, at time.Time, bytes int) time.Time {
+	start := at
+	if free.After(at) {
+		start = *free
+	}
+	l.longest = max(l.longest, start.Sub(at))
+	*free = start.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	return *free
 }
 
 // link is the way from one VM to another.
@@ -60,7 +84,7 @@
 	return &memoryNetwork{
 		conns: make(map[*memoryConn]struct{}), cuts: make(map[link]bool), dark: make(map[netip.Addr]bool),
 		listeners: make(map[netip.AddrPort]*memoryListener), packetConns: make(map[netip.AddrPort]*memoryPacketConn),
-		random: rand.New(rand.NewPCG(seed, 42)), refused: make(map[link]bool),
+		random: rand.New(rand.NewPCG(seed, 42)), refused: make(map[link]bool), lines: make(map[netip.Addr]*memoryLine),
 	}
 }
 
@@ -69,6 +93,30 @@
 	return vmNetwork{memoryNetwork: m, vm: vm}
 }
 
+// setLine gives a VM a line of the width.
+func (m *memoryNetwork) setLine(vm netip.Addr, bytesPerSecond float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lines[vm] = &memoryLine{bytesPerSecond: bytesPerSecond}
+}
+
+// arrival returns when bytes that are sent now arrive.
+func (m *memoryNetwork) arrival(from, to netip.Addr, bytes int) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := time.Now()
+	if line := m.lines[from]; line != nil {
+		line.sent += bytes
+		at = line.pass(&line.outFree, at, bytes)
+	}
+	at = at.Add(memoryLatency)
+	if line := m.lines[to]; line != nil {
+		line.received += bytes
+		at = line.pass(&line.inFree, at, bytes)
+	}
+	return at
+}
+
 // reaches reports whether a packet gets from one VM to the other. It is called with mu held.
 func (m *memoryNetwork) reaches(from, to netip.Addr) bool {
 	return !m.cuts[link{from, to}] && !m.dark[from] && !m.dark[to]
@@ -158,8 +206,8 @@
 	v.mu.Unlock()
 	client, clientSide := net.Pipe()
 	server, serverSide := net.Pipe()
-	go v.forward(conn, clientSide, serverSide)
-	go v.forward(conn, serverSide, clientSide)
+	go v.forward(conn, link{conn.client, conn.server}, clientSide, serverSide)
+	go v.forward(conn, link{conn.server, conn.client}, serverSide, clientSide)
 	select {
 	case listener.accepted <- server:
 	case <-listener.closed:
@@ -178,7 +226,7 @@
 
 // forward copies bytes from one end to the other, and the end of the connection, unless the connection is silent. It reads
 // at once: a write that waits would hold a mutex of its writer, and virtual time stands still while others wait for one.
-func (m *memoryNetwork) forward(conn *memoryConn, from, to net.Conn) {
+func (m *memoryNetwork) forward(conn *memoryConn, way link, from, to net.Conn) {
 	segments := make(chan segment, segmentQueue)
 	go m.deliver(conn, segments, to)
 	defer close(segments)
@@ -189,7 +237,7 @@
 		if err != nil {
 			return
 		}
-		segments <- segment{time.Now().Add(memoryLatency), append([]byte(nil), buffer[:n]...)}
+		segments <- segment{m.arrival(way.from, way.to, n), append([]byte(nil), buffer[:n]...)}
 	}
 }
 
@@ -319,7 +367,7 @@
 	m.mu.Unlock()
 	if !isLost {
 		d := datagram{data: append([]byte(nil), b...), from: p.address}
-		time.AfterFunc(memoryLatency, func() {
+		time.AfterFunc(time.Until(m.arrival(p.address.Addr(), to.Addr(), len(b))), func() {
 			select {
 			case target.arrived <- d:
 			default:
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,6 +36,10 @@
 	settleTime = 3 * time.Second
 	// checkInterval is the time between two looks at the nodes.
 	checkInterval = 20 * time.Millisecond
+	// furtherPath begins the paths of the routes that are added to a document.
+	furtherPath = "/further/"
+	// bytesPerMegabit is the number of bytes in a megabit.
+	bytesPerMegabit = 1e6 / 8
 	// changeLimit is how long an operator waits for the answer to a change.
 	changeLimit = 900 * time.Millisecond
 )
@@ -51,6 +57,8 @@
 	Routes int `json:"routes"`
 	// LossPercent is the part of the datagrams that is lost.
 	LossPercent int `json:"loss-percent"`
+	// LinkMbps is the width of the links of the nodes without a disk, in megabits per second; zero for no limit.
+	LinkMbps float64 `json:"link-mbps"`
 	// Late are the numbers of the nodes that are not started with the others.
 	Late  []int        `json:"late"`
 	Steps []spreadStep `json:"steps"`
@@ -115,6 +123,7 @@
 	outOfTouch map[int]bool
 	text       string
 	version    uint64
+	parser     sharedParser
 	// order is sent instead of changes if it is not nil, and evacuated are the data centres after the acknowledged ones.
 	order     *replicator.Evacuation
 	evacuated []string
@@ -133,6 +142,16 @@
 	playSpreadScenarios(t, "testdata/spread/*.json", true)
 }
 
+// TestLargeDocumentsSpreadInTime guards against changes of a document of thousands of routes that are not in force in time because
+// the links of the nodes are too thin for what is sent.
+func TestLargeDocumentsSpreadInTime(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relayed=%t", relayed), func(t *testing.T) {
+			playSpreadScenarios(t, "testdata/spread/large-documents/*.json", relayed)
+		})
+	}
+}
+
 // TestSpreadingToManyMembers is TestAcknowledgedChangesSpreadInTime in deployments of hundreds of nodes.
 func TestSpreadingToManyMembers(t *testing.T) {
 	playSpreadScenarios(t, "testdata/spread/many/*.json", false)
@@ -167,6 +186,9 @@
 	f.text = documentWithRoutes(t, scenario.Routes)
 	for i := range scenario.Members {
 		f.vms = append(f.vms, netip.AddrFrom4([4]byte{127, 42, byte(i / 250), byte(1 + i%250)}))
+		if scenario.LinkMbps > 0 && i >= cmp.Or(scenario.Disks, spreadReplicas) {
+			f.network.setLine(f.vms[i], scenario.LinkMbps*bytesPerMegabit)
+		}
 	}
 	f.nodes, f.folders = make([]*relayer.Node, scenario.Members), make([]string, scenario.Members)
 	for i := range f.vms {
@@ -178,6 +200,26 @@
 	return f
 }
 
+// sharedParser parses the text that is newest once for all nodes of a test. Documents are not changed.
+type sharedParser struct {
+	mu       sync.Mutex
+	text     string
+	document *validator.Document
+}
+
+func (p *sharedParser) parse(text []byte) (*validator.Document, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.document != nil && p.text == string(text) {
+		return p.document, nil
+	}
+	document, err := validator.Parse(text)
+	if err == nil {
+		p.text, p.document = string(text), document
+	}
+	return document, err
+}
+
 // close ends all nodes, and waits until the calls that are under way have ended at their timeouts.
 func (f *spreadFleet) close() {
 	f.abortAll()
@@ -202,9 +244,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range count {
+	// Names without a pattern, so that the text can't be compressed to much less than those of the pages.
+	random := rand.New(rand.NewPCG(uint64(count), 5))
+	for range count {
 		route := document.Routes[0]
-		route.PathPrefix = fmt.Sprintf("/further/%d", i)
+		route.PathPrefix = fmt.Sprintf(furtherPath+"%016x", random.Uint64())
 		document.Routes = append(document.Routes, route)
 	}
 	encoded, err := json.Marshal(document)
@@ -250,6 +294,7 @@
 	}
 	secrets := &settingsreader.Secrets{AdminToken: []byte("a token for the tests"), PeerSigner: peerSigner}
 	node, err := relayer.New(settings, secrets, log.NewNopLogger(), relayer.WithNetwork(f.network.at(f.vms[number])),
+		relayer.WithParser(f.parser.parse),
 		relayer.WithUptime(func() time.Duration { return time.Since(f.started) }))
 	if err != nil {
 		f.t.Fatal(err)
@@ -353,18 +398,63 @@
 // nextChange returns the change that makes the next version.
 func (f *spreadFleet) nextChange() *replicator.Change {
 	next := f.version + 1
-	return &replicator.Change{Base: f.version, ID: fmt.Sprint(next), Text: f.text, Version: next}
+	return &replicator.Change{Base: f.version, ID: fmt.Sprint(next), Text: f.textOf(next), Version: next}
+}
+
+// textOf returns the document's text in a version. One of the further routes differs from that of other versions.
+func (f *spreadFleet) textOf(version uint64) string {
+	if f.scenario.Routes == 0 {
+		return f.text
+	}
+	parts := strings.Split(f.text, furtherPath)
+	changed := 1 + int(version)*7919%f.scenario.Routes
+	return strings.Join(parts[:changed], furtherPath) + furtherPath + fmt.Sprintf("%d-", version) + strings.Join(parts[changed:], furtherPath)
 }
 
-// storm sends changes to the nodes of the step in turn and checks that the last one spreads.
+// storm sends changes to the nodes of the step in turn and checks that each one spreads.
 func (f *spreadFleet) storm(step *spreadStep) {
+	var pending []acknowledgedChange
 	for i := range max(1, step.Count) {
 		f.sendChange(step.Nodes[i%len(step.Nodes)])
-		time.Sleep(step.Gap.Std())
+		pending = append(pending, acknowledgedChange{version: f.version, at: time.Now()})
+		for wake := time.Now().Add(step.Gap.Std()); time.Now().Before(wake); time.Sleep(min(checkInterval, time.Until(wake))) {
+			pending = f.checkDue(pending)
+		}
 	}
 	f.checkSpread()
 }
 
+// acknowledgedChange is a version with the time of its acknowledgement.
+type acknowledgedChange struct {
+	version uint64
+	at      time.Time
+}
+
+// checkDue fails the test if a version that was acknowledged applyBound ago is not in force at a node in touch. It returns those
+// that were acknowledged later.
+func (f *spreadFleet) checkDue(pending []acknowledgedChange) []acknowledgedChange {
+	f.t.Helper()
+	for len(pending) > 0 && time.Since(pending[0].at) >= applyBound {
+		f.checkInForce(pending[0].version)
+		pending = pending[1:]
+	}
+	return pending
+}
+
+// checkInForce fails the test if nodes in touch have an older version than this in force.
+func (f *spreadFleet) checkInForce(version uint64) {
+	f.t.Helper()
+	late := 0
+	for i, node := range f.nodes {
+		if !f.outOfTouch[i] && node.Status().DocumentVersion < version {
+			late++
+		}
+	}
+	if late > 0 {
+		f.t.Errorf("version %d is not in force at %d nodes %s after its acknowledgement", version, late, applyBound)
+	}
+}
+
 // change makes a change through a node and checks that it spreads.
 func (f *spreadFleet) change(number int) {
 	f.sendChange(number)
