Send differences of documents, and nothing large beside itself

Cause: whatever carried a value carried all of its text, 53 kB. A relay, any member of a data centre, sent that to its 22 neighbours over its own link of 3.4 Mbps, which takes 2.8 s; what it had not confirmed in 0.3 s was sent again by the pusher, by fetches and by repeats over new connections, each time whole, so that the work grew as the links filled. The bound on time in DESIGN.md had no term for bytes.

Change: a node keeps the chunk hashes of its last 16 values and sends what differs from the one that the receiver has named, checked by a hash of the result (patcher, distributor.History). A text or difference over 6 KiB follows a question that was just answered, and is not repeated beside itself; its time limit grows with its bytes. Members name what they have in force when a difference doesn't fit.

Why it works: a change of one route is 0.7 kB where it was 40 kB, and what is still large is sent once to each member by whoever has it, so that nothing grows with the members of a data centre or with the delay.

Tests changed: PushNode.Push returns the member's answer, NewPusher takes a history; the relay gets the members' names, so that it no longer sends the value to itself, and TestValuesCrossOnce allows one message fewer.

--- a/internal/distributor/document.go
+++ b/internal/distributor/document.go
@@ -1,31 +1,81 @@
 package distributor
 
-import "github.com/marigoldrelay/marigoldrelay/internal/replicator"
+import (
+	"fmt"
 
-// Document is a value of the register as nodes exchange it: without its history and with the text compressed.
+	"github.com/ansel1/merry/v2"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/patcher"
+	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
+)
+
+// ErrNoBase is wrapped by the error of Document.Value if the text can't be made from the one that is in force.
+var ErrNoBase = merry.Sentinel("the text that the document builds on is not in force")
+
+// Document is a value of the register as nodes exchange it: without its history, and with the text compressed or as the difference
+// from an earlier one. Without either it is a question whether the receiver has the revision.
 type Document struct {
+	// Base is the revision whose text Patch builds on; zero without a patch.
+	Base       uint64 `json:"base,omitempty"`
 	Deployment string `json:"deployment"`
 	// Evacuated are the evacuated data centres.
-	Evacuated []string             `json:"evacuated,omitempty"`
-	Packed    []byte               `json:"packed"`
-	Replicas  []replicator.Replica `json:"replicas"`
+	Evacuated []string `json:"evacuated,omitempty"`
+	// Packed is the whole text, compressed by replicator.Pack.
+	Packed []byte `json:"packed,omitempty"`
+	// Patch leads from the text of Base to the text. It is one of patcher, compressed by replicator.Pack.
+	Patch    []byte               `json:"patch,omitempty"`
+	Replicas []replicator.Replica `json:"replicas"`
 	// ReplicasRevision is that of the value.
 	ReplicasRevision uint64 `json:"replicas-revision,omitempty"`
 	Revision         uint64 `json:"revision"`
-	Version          uint64 `json:"version"`
+	// Sum is patcher.Sum of the text if there is a patch.
+	Sum uint64 `json:"sum,omitempty"`
+	// WholeBytes is the size of Packed, if a fetch leaves it out for its size.
+	WholeBytes int    `json:"whole-bytes,omitempty"`
+	Version    uint64 `json:"version"`
 }
 
-// NewDocument returns the document of a value.
-func NewDocument(value *replicator.Value) Document {
+// newDocument returns the document of a value without its text.
+func newDocument(value *replicator.Value) Document {
 	return Document{
-		Deployment: value.Deployment, Evacuated: value.Evacuated, Packed: replicator.Pack(value.Text), Replicas: value.Replicas,
-		ReplicasRevision: value.ReplicasRevision, Revision: value.Revision, Version: value.Version,
+		Deployment: value.Deployment, Evacuated: value.Evacuated, Replicas: value.Replicas, ReplicasRevision: value.ReplicasRevision,
+		Revision: value.Revision, Version: value.Version,
 	}
 }
 
-// Value returns the value without its history. The error wraps replicator.ErrUnpack if the text can't be decompressed.
-func (d *Document) Value() (*replicator.Value, error) {
-	text, err := replicator.Unpack(d.Packed)
+// NewDocument returns the document of a value with its whole text.
+func NewDocument(value *replicator.Value) Document {
+	document := newDocument(value)
+	document.Packed = replicator.Pack(value.Text)
+	return document
+}
+
+// Size returns the number of bytes of the text or the patch, compressed.
+func (d *Document) Size() int {
+	return len(d.Packed) + len(d.Patch)
+}
+
+// IsLarge reports whether the document is too large to be sent without a question before it.
+func (d *Document) IsLarge() bool {
+	return d.Size() > MaxUnaskedBytes
+}
+
+// IsQuestion reports whether the document has no text.
+func (d *Document) IsQuestion() bool {
+	return d.Size() == 0
+}
+
+// Question returns the document without its text.
+func (d *Document) Question() Document {
+	question := *d
+	question.Base, question.Packed, question.Patch, question.Sum = 0, nil, nil, 0
+	return question
+}
+
+// Value returns the value without its history. The value in force can be nil. The error wraps ErrNoBase if that is not the one that the
+// document builds on, or replicator.ErrUnpack if the text can't be decompressed.
+func (d *Document) Value(inForce *replicator.Value) (*replicator.Value, error) {
+	text, err := d.text(inForce)
 	if err != nil {
 		return nil, err
 	}
@@ -34,3 +84,26 @@
 		Text: text, Version: d.Version,
 	}, nil
 }
+
+func (d *Document) text(inForce *replicator.Value) (string, error) {
+	switch {
+	case d.IsQuestion():
+		return "", fmt.Errorf("%w: revision %d comes without its text", ErrNoBase, d.Revision)
+	case d.Base == 0:
+		return replicator.Unpack(d.Packed)
+	case inForce == nil || inForce.Revision != d.Base:
+		return "", fmt.Errorf("%w: revision %d", ErrNoBase, d.Base)
+	}
+	patch, err := replicator.Unpack(d.Patch)
+	if err != nil {
+		return "", err
+	}
+	text, err := patcher.Apply(inForce.Text, []byte(patch), replicator.MaxTextBytes)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrNoBase, err)
+	}
+	if patcher.Sum(text) != d.Sum {
+		return "", fmt.Errorf("%w: the patch on revision %d gives another text", ErrNoBase, d.Base)
+	}
+	return text, nil
+}
--- a/internal/distributor/pusher.go
+++ b/internal/distributor/pusher.go
@@ -26,8 +26,25 @@
 	deputyInterval     = 4
 )
 
-// errNoMember is the error of a member that is no longer pushed to.
-var errNoMember = errors.New("the member is gone")
+// maxPushSteps is the number of messages after which an attempt to bring a value to a member ends: a question or a patch that
+// doesn't fit, what the answer asks for, and the same again if the member has got another value in between.
+const maxPushSteps = 4
+
+// Errors of an attempt to push.
+var (
+	// errNoMember is the error of a member that is no longer pushed to.
+	errNoMember = errors.New("the member is gone")
+	// errNotTaken is the error of a member that still lacks the value after maxPushSteps.
+	errNotTaken = errors.New("the member has not taken the value")
+)
+
+// PushReply is the answer of a member to a document.
+type PushReply struct {
+	// IsMissing is true if the member has neither the document's revision in force nor all it needs to put that in force.
+	IsMissing bool `json:"is-missing,omitempty"`
+	// InForce is the revision that the member has in force if IsMissing is set.
+	InForce uint64 `json:"in-force,omitempty"`
+}
 
 // PushNode is the node of a Pusher.
 type PushNode interface {
@@ -36,7 +53,7 @@
 	// LiveMember returns one of them, and whether it still is one.
 	LiveMember(name string) (gossiper.Member, bool)
 	// Push sends a value to a member. A member that has a newer one ignores it.
-	Push(ctx context.Context, to gossiper.Member, value Document) error
+	Push(ctx context.Context, to gossiper.Member, value Document) (PushReply, error)
 	// PushByDeputy asks another node, which has the value or a newer one in force, to push that to a member. It returns nil if
 	// it has arrived.
 	PushByDeputy(ctx context.Context, to gossiper.Member, revision uint64) error
@@ -45,11 +62,12 @@
 }
 
 // Pusher sends each chosen value to all members, and again until it has arrived, a newer one takes its place, or the member
-// is gone. Each member gets one message at a time, the newest. Where that fails, another node is asked to send it: this node may
-// reach the replicas, and so get a value chosen, and nobody else. It is safe for concurrent use.
+// is gone. Each member gets one message at a time, the newest, as the difference from what it has in force. Where that fails, another
+// node is asked to send it: this node may reach the replicas, and so get a value chosen, and nobody else. It is safe for concurrent use.
 type Pusher struct {
-	clock timekeeper.Clock
-	node  PushNode
+	clock   timekeeper.Clock
+	node    PushNode
+	history *History
 	// ctx is done after stop.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -57,18 +75,20 @@
 	relaying *relaying
 
 	mu sync.Mutex
-	// newest is the value to be pushed.
-	newest Document
+	// newest is the revision of the value to be pushed.
+	newest uint64
 	// active holds the names of the members that are being pushed to.
 	active map[string]bool
-	// lastPacked is the document of the value that was last pushed for another node.
-	lastPacked Document
+	// revisions holds the revision that each member had in force when it last told.
+	revisions map[string]uint64
 }
 
-// NewPusher returns a pusher for a node.
-func NewPusher(clock timekeeper.Clock, node PushNode) *Pusher {
+// NewPusher returns a pusher for a node. The history holds the values that the node has put in force.
+func NewPusher(clock timekeeper.Clock, node PushNode, history *History) *Pusher {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Pusher{clock: clock, node: node, active: make(map[string]bool), ctx: ctx, stop: stop}
+	return &Pusher{
+		clock: clock, node: node, history: history, active: make(map[string]bool), revisions: make(map[string]uint64), ctx: ctx, stop: stop,
+	}
 }
 
 // Close ends all pushing.
@@ -84,13 +104,13 @@
 // begin makes the value the newest and returns the live members to which the pushing begins: those that are not pushed to yet.
 // There are none if this value or a newer one was pushed before.
 func (p *Pusher) begin(value *replicator.Value) []gossiper.Member {
-	document := NewDocument(value)
+	p.history.Add(value)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if document.Revision <= p.newest.Revision {
+	if value.Revision <= p.newest {
 		return nil
 	}
-	p.newest = document
+	p.newest = value.Revision
 	var idle []gossiper.Member
 	for _, m := range p.node.LiveMembers() {
 		if !p.active[m.Name] {
@@ -110,12 +130,10 @@
 // deliver sends the newest value to a member until it has arrived.
 func (p *Pusher) deliver(name string) {
 	for failures := 0; ; failures++ {
-		p.mu.Lock()
-		document := p.newest
-		p.mu.Unlock()
-		err := p.attempt(name, document, failures)
+		revision := p.history.Revision()
+		err := p.attempt(name, failures)
 		if err == nil || errors.Is(err, errNoMember) {
-			if p.finish(name, document, err == nil) {
+			if p.finish(name, revision, err == nil) {
 				return
 			}
 			continue
@@ -124,38 +142,93 @@
 	}
 }
 
-// pushOnce sends a value to a member. The error is errNoMember if the member is gone or the pusher is closed.
-func (p *Pusher) pushOnce(ctx context.Context, name string, document Document) error {
+// pushOnce brings the newest value to a member, and calls answered with each answer of it. The error is errNoMember if the member is
+// gone or the pusher is closed.
+func (p *Pusher) pushOnce(ctx context.Context, name string, answered func()) error {
 	member, err := p.member(name)
 	if err != nil {
 		return err
 	}
-	err = p.node.Push(ctx, member, document)
+	err = p.send(ctx, member, answered)
 	if err != nil && ctx.Err() == nil {
 		p.node.PushFailed(member, err)
 	}
 	return err
 }
 
-// attempt sends a value to a member, or lets a deputy do so: if this node fails and isDeputyDue, or has got no answer for
+// send brings the newest value to a member: first as the difference from what the member is believed to have, then as it asks for. A large
+// document follows only when the member has just answered, so that none is sent in vain or beside another one.
+func (p *Pusher) send(ctx context.Context, member gossiper.Member, answered func()) error {
+	document := p.history.Document(p.believed(member.Name))
+	hasAnswered := false
+	for range maxPushSteps {
+		message := document
+		if document.IsLarge() && !hasAnswered {
+			message = document.Question()
+		}
+		reply, err := p.node.Push(ctx, member, message)
+		if err != nil {
+			return err
+		}
+		hasAnswered = true
+		answered()
+		if !reply.IsMissing {
+			p.learn(member.Name, document.Revision)
+			return nil
+		}
+		p.learn(member.Name, reply.InForce)
+		document = p.next(&message, reply)
+	}
+	return errNotTaken
+}
+
+// next returns the document that a member needs after its reply to a message.
+func (p *Pusher) next(message *Document, reply PushReply) Document {
+	if message.Base > 0 && message.Base == reply.InForce {
+		// The patch doesn't fit the text that it was made for.
+		return p.history.Document(0)
+	}
+	return p.history.Document(reply.InForce)
+}
+
+// believed returns the revision that a member is believed to have in force: what it has told, or else the one before the newest.
+func (p *Pusher) believed(name string) uint64 {
+	p.mu.Lock()
+	revision, ok := p.revisions[name]
+	p.mu.Unlock()
+	if ok {
+		return revision
+	}
+	return p.history.Previous()
+}
+
+// learn records the revision that a member has in force.
+func (p *Pusher) learn(name string, revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revisions[name] = revision
+}
+
+// attempt brings the newest value to a member, or lets a deputy do so: if this node fails and isDeputyDue, or has got no answer for
 // deputyDelay. The errors are those of pushOnce.
-func (p *Pusher) attempt(name string, document Document, failures int) error {
+func (p *Pusher) attempt(name string, failures int) error {
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	var hasArrived atomic.Bool
+	revision := p.history.Revision()
 	timer := p.clock.AfterFunc(deputyDelay, func() {
-		if p.pushByDeputy(name, document) == nil {
+		if p.pushByDeputy(name, revision) == nil {
 			hasArrived.Store(true)
 			cancel()
 		}
 	})
 	defer timer.Stop()
-	err := p.pushOnce(ctx, name, document)
+	err := p.pushOnce(ctx, name, func() { timer.Stop() })
 	switch {
 	case hasArrived.Load():
 		return nil
 	case isDeputyDue(failures, err):
-		return p.pushByDeputy(name, document)
+		return p.pushByDeputy(name, revision)
 	default:
 		return err
 	}
@@ -166,15 +239,15 @@
 	return err != nil && !errors.Is(err, errNoMember) && failures%deputyInterval == firstDeputyFailure-1
 }
 
-// pushByDeputy asks another node to push a value to a member. The errors are those of pushOnce.
-func (p *Pusher) pushByDeputy(name string, document Document) error {
+// pushByDeputy asks another node to push the value with the revision to a member. The errors are those of pushOnce.
+func (p *Pusher) pushByDeputy(name string, revision uint64) error {
 	member, err := p.member(name)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, deputyTimeout)
 	defer cancel()
-	return p.node.PushByDeputy(ctx, member, document.Revision)
+	return p.node.PushByDeputy(ctx, member, revision)
 }
 
 // member returns a member. The error is errNoMember if it is gone or the pusher is closed.
@@ -186,32 +259,25 @@
 	return member, nil
 }
 
-// PushFor pushes a value once to one member, for a node that doesn't reach it. The errors are those of pushOnce.
-func (p *Pusher) PushFor(ctx context.Context, name string, value *replicator.Value) error {
+// PushFor brings the newest value in force to one member, once, for a node that doesn't reach it. The errors are those of pushOnce.
+func (p *Pusher) PushFor(ctx context.Context, name string) error {
 	member, err := p.member(name)
 	if err != nil {
 		return err
 	}
-	return p.node.Push(ctx, member, p.packed(value))
-}
-
-// packed returns the document of a value. It keeps that of the last one, since many members may be asked for at once.
-func (p *Pusher) packed(value *replicator.Value) Document {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.lastPacked.Revision != value.Revision {
-		p.lastPacked = NewDocument(value)
-	}
-	return p.lastPacked
+	return p.send(ctx, member, func() {})
 }
 
 // finish ends the pushing to a member, unless the value that has arrived is no longer the newest. It reports whether it did.
-func (p *Pusher) finish(name string, document Document, hasArrived bool) bool {
+func (p *Pusher) finish(name string, revision uint64, hasArrived bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if hasArrived && document.Revision < p.newest.Revision {
+	if hasArrived && revision < p.newest {
 		return false
 	}
+	if !hasArrived {
+		delete(p.revisions, name)
+	}
 	delete(p.active, name)
 	return true
 }
--- a/internal/distributor/pusher_test.go
+++ b/internal/distributor/pusher_test.go
@@ -57,23 +57,23 @@
 }
 
 // Push implements PushNode.
-func (s *scriptedMembers) Push(_ context.Context, to gossiper.Member, value Document) error {
+func (s *scriptedMembers) Push(_ context.Context, to gossiper.Member, value Document) (PushReply, error) {
 	s.mu.Lock()
 	s.sent[to.Name]++
 	isCutOff, isRefusing := s.cutOff[to.Name], s.refusing[to.Name]
 	s.mu.Unlock()
 	if isRefusing {
-		return errUnreachable
+		return PushReply{}, errUnreachable
 	}
 	if isCutOff {
 		time.Sleep(2 * time.Second)
-		return errUnreachable
+		return PushReply{}, errUnreachable
 	}
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
 	s.arrived[to.Name] = append(s.arrived[to.Name], value.Revision)
 	s.mu.Unlock()
-	return nil
+	return PushReply{}, nil
 }
 
 // PushByDeputy implements PushNode.
@@ -118,7 +118,7 @@
 func TestPushIsRepeatedUntilItArrives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		members := newScriptedMembers(3)
-		p := NewPusher(timekeeper.System{}, members)
+		p := NewPusher(timekeeper.System{}, members, NewHistory())
 		defer p.Close()
 		members.setCutOff("m1", true)
 		for revision := uint64(1); revision <= 20; revision++ {
@@ -142,7 +142,7 @@
 func TestPushEndsWithMember(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		members := newScriptedMembers(2)
-		p := NewPusher(timekeeper.System{}, members)
+		p := NewPusher(timekeeper.System{}, members, NewHistory())
 		members.setCutOff("m1", true)
 		p.Push(&replicator.Value{Revision: 5})
 		p.Push(&replicator.Value{Revision: 4})
@@ -179,7 +179,7 @@
 		members := newScriptedMembers(6)
 		members.hasDeputies = true
 		members.refusing["m1"], members.refusing["m4"] = true, true
-		pusher := NewPusher(timekeeper.System{}, members)
+		pusher := NewPusher(timekeeper.System{}, members, NewHistory())
 		defer pusher.Close()
 		for revision := range uint64(3) {
 			pusher.Push(&replicator.Value{Revision: 1 + revision})
--- a/internal/distributor/relay_test.go
+++ b/internal/distributor/relay_test.go
@@ -34,7 +34,7 @@
 }
 
 // PushToRelay implements RelayNode.
-func (r *relayedMembers) PushToRelay(ctx context.Context, to gossiper.Member, value Document) ([]string, error) {
+func (r *relayedMembers) PushToRelay(ctx context.Context, to gossiper.Member, value Document, others []string) ([]string, error) {
 	r.mu.Lock()
 	r.relayed++
 	r.mu.Unlock()
@@ -42,12 +42,12 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if err := r.Push(ctx, to, value); err != nil || r.forgetful {
+	if _, err := r.Push(ctx, to, value); err != nil || r.forgetful {
 		return nil, err
 	}
-	relay := NewPusher(timekeeper.System{}, r)
+	relay := NewPusher(timekeeper.System{}, r, NewHistory())
 	defer relay.Close()
-	return relay.PassOn(ctx, value, dataCentreOf(to.Name)), nil
+	return relay.PassOn(ctx, value, others), nil
 }
 
 // TestValuesCrossOnce sends a value to three data centres. It guards against a value that crosses for each member, and against
@@ -59,15 +59,14 @@
 		within            time.Duration
 		relayed, sent     int
 	}{
-		// The relay also gets the value from itself here, since it is among the live members.
-		{name: "calm", within: 10 * time.Millisecond, relayed: 1, sent: 8},
+		{name: "calm", within: 10 * time.Millisecond, relayed: 1, sent: 7},
 		{name: "frozen relay", frozen: true, within: confirmTimeout + 10*time.Millisecond, relayed: 1, sent: 7},
 		{name: "nobody confirmed", forgetful: true, within: 10 * time.Millisecond, relayed: 1, sent: 7},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				members := &relayedMembers{scriptedMembers: newScriptedMembers(7), frozen: test.frozen, forgetful: test.forgetful}
-				p := NewPusher(timekeeper.System{}, members)
+				p := NewPusher(timekeeper.System{}, members, NewHistory())
 				defer p.Close()
 				p.UseRelays(members, "a")
 				p.PushThroughRelays(&replicator.Value{Revision: 3})
@@ -91,7 +90,7 @@
 func TestNewerValuesFollowThroughRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		members := &relayedMembers{scriptedMembers: newScriptedMembers(7)}
-		p := NewPusher(timekeeper.System{}, members)
+		p := NewPusher(timekeeper.System{}, members, NewHistory())
 		defer p.Close()
 		p.UseRelays(members, "a")
 		members.setCutOff("m4", true)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -139,6 +139,7 @@
 		counter:  counter,
 		dial:     dialer.Dial,
 	}
+	m.Handle(methodPing, func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
 	for _, option := range options {
 		option(m)
 	}
@@ -263,9 +264,20 @@
 // Call calls a method of the peer and decodes the response into result. The error wraps ErrUnreachable if no response
 // came; the peer may have run the method all the same. An error of the peer's handler is returned as *jsonrpc2.Error.
 func (m *Messenger) Call(ctx context.Context, to netip.AddrPort, purpose Purpose, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	return m.callWithin(ctx, callTimeout, endpoint{to, purpose}, method, params, result)
+}
+
+// CallForLarge is like Call for a response of about the size in bytes, which gets the time that it takes on a thin link.
+func (m *Messenger) CallForLarge(
+	ctx context.Context, to netip.AddrPort, purpose Purpose, method string, params, result any, responseBytes int,
+) error {
+	return m.callWithin(ctx, callTimeout+transferTime(responseBytes), endpoint{to, purpose}, method, params, result)
+}
+
+// callWithin does what Call does, with a timeout.
+func (m *Messenger) callWithin(ctx context.Context, timeout time.Duration, peer endpoint, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	peer := endpoint{to, purpose}
 	out, err := m.outgoingTo(peer)
 	if err != nil {
 		return err
--- a/internal/messenger/repeat.go
+++ b/internal/messenger/repeat.go
@@ -17,15 +17,45 @@
 	repeatAfter = 300 * time.Millisecond
 	// maxTries is how often a call of an idempotent method is sent at most.
 	maxTries = 3
+	// maxRepeatedBytes is the size of the largest params that are sent again beside a call that is under way.
+	maxRepeatedBytes = 16 << 10
+	// thinLinkBytesPerSecond is what a link carries at least for control traffic, a part of 1 Mbps.
+	thinLinkBytesPerSecond = 64 << 10
+	// methodPing is a method that every messenger has, and that does nothing.
+	methodPing = "ping"
 )
 
+// transferTime returns how long a number of bytes takes at most on a thin link.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / thinLinkBytesPerSecond
+}
+
 // CallIdempotent is like Call for a method that the peer may run more than once. A call without a response within repeatAfter
 // is sent again over a new connection, since the kept one may be silent, and so is one whose kept connection turns out
-// to be closed. The first response counts.
+// to be closed. The first response counts. A call with more than maxRepeatedBytes is sent once, over a connection on which the peer has
+// just answered, and gets the time that its bytes take.
 func (m *Messenger) CallIdempotent(ctx context.Context, to netip.AddrPort, purpose Purpose, method string, params, result any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	peer := endpoint{to, purpose}
+	if len(encoded) <= maxRepeatedBytes {
+		return m.callRepeatedly(ctx, peer, method, json.RawMessage(encoded), result)
+	}
+	var rpcErr *jsonrpc2.Error
+	// An earlier version of a peer has no such method, and has answered all the same.
+	if err := m.callRepeatedly(ctx, peer, methodPing, struct{}{}, nil); err != nil && !errors.As(err, &rpcErr) {
+		return err
+	}
+	return m.callWithin(ctx, callTimeout+transferTime(len(encoded)), peer, method, json.RawMessage(encoded), result)
+}
+
+// callRepeatedly sends a call, and again while there is no response. The errors are those of Call.
+func (m *Messenger) callRepeatedly(ctx context.Context, to endpoint, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c := &repeatedCall{messenger: m, to: endpoint{to, purpose}, method: method, params: params, results: make(chan tryResult, maxTries)}
+	c := &repeatedCall{messenger: m, to: to, method: method, params: params, results: make(chan tryResult, maxTries)}
 	response, err := c.run(ctx)
 	if err != nil || result == nil {
 		return err
--- a/internal/messenger/repeat_test.go
+++ b/internal/messenger/repeat_test.go
@@ -26,6 +26,8 @@
 	dials int
 	// silent is closed to silence the connections that are open.
 	silent chan struct{}
+	// bytesPerSecond is the width of each connection in each direction; zero for no limit.
+	bytesPerSecond int
 }
 
 // newPipes returns a client and its server. The handler of the method is called with the number of the call.
@@ -48,23 +50,27 @@
 func (p *pipeServer) dial(netip.AddrPort, time.Duration) (net.Conn, error) {
 	p.mu.Lock()
 	p.dials++
-	silent := p.silent
+	silent, bytesPerSecond := p.silent, p.bytesPerSecond
 	p.mu.Unlock()
 	client, clientSide := net.Pipe()
 	server, serverSide := net.Pipe()
-	go forwardUntil(silent, clientSide, serverSide)
-	go forwardUntil(silent, serverSide, clientSide)
+	go forwardUntil(silent, bytesPerSecond, clientSide, serverSide)
+	go forwardUntil(silent, bytesPerSecond, serverSide, clientSide)
 	p.accepted <- server
 	return client, nil
 }
 
-// forwardUntil copies from one connection to the other. Once silent is closed, it reads nothing more.
-func forwardUntil(silent <-chan struct{}, from, to net.Conn) {
+// forwardUntil copies from one connection to the other, at most bytesPerSecond if that is not zero. Once silent is closed, it reads
+// nothing more.
+func forwardUntil(silent <-chan struct{}, bytesPerSecond int, from, to net.Conn) {
 	defer func() { _ = to.Close() }()
 	defer func() { _ = from.Close() }()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
+		if bytesPerSecond > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(bytesPerSecond))
+		}
 		select {
 		case <-silent:
 			// The ends notice nothing until they give up.
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -57,6 +57,13 @@
 	r.skippedUntil[name] = r.node.clock.Now().Add(leaderSkipTime)
 }
 
+// changeRequest asks the leader to make a change.
+type changeRequest struct {
+	replicator.Change
+	// InForce is the revision that the sender has in force.
+	InForce uint64 `json:"in-force,omitempty"`
+}
+
 // changeReply is the leader's answer to a change. If the change was refused, Conflict or VersionTooLow is set.
 type changeReply struct {
 	Conflict *replicator.ConflictError `json:"conflict,omitempty"`
@@ -93,7 +100,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	if err := r.node.messenger.Call(ctx, leader.Control, messenger.PurposeConfiguration, methodChange, change, &reply); err != nil {
+	request := changeRequest{Change: *change, InForce: r.node.revision()}
+	if err := r.node.messenger.Call(ctx, leader.Control, messenger.PurposeConfiguration, methodChange, request, &reply); err != nil {
 		r.node.log.Warn("The leader has not made a change.", "leader", leader.Name, "id", change.ID, "error", err)
 		r.skipLeader(leader.Name)
 		return changeReply{}, false
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -59,6 +59,10 @@
 	// fetcher and pusher bring values to this node and to the others.
 	fetcher *distributor.Fetcher
 	pusher  *distributor.Pusher
+	// history holds what has been in force on this node.
+	history *distributor.History
+	// largeFetch is a semaphore that allows one fetch of a large document at a time.
+	largeFetch chan struct{}
 	// answerer answers on a replica which revision is the newest.
 	answerer *confirmer.Answerer
 
@@ -78,13 +82,13 @@
 }
 
 func (n *Node) buildRegister() error {
-	r := &register{node: n}
+	r := &register{node: n, history: distributor.NewHistory(), largeFetch: make(chan struct{}, 1)}
 	r.callCtx, r.interruptCalls = context.WithCancel(context.Background())
 	// The wall clock can step back over a restart, so the incarnation alone may not be unique.
 	r.proposer = replicator.NewProposer(n.clock, fmt.Sprintf("%s.%x.%s", n.settings.Name, n.incarnation, settingsreader.NewSecret()), r)
 	r.proposer.SetRoundObserver(n.roundFinished)
 	r.fetcher = distributor.NewFetcher(r)
-	r.pusher = distributor.NewPusher(n.clock, r)
+	r.pusher = distributor.NewPusher(n.clock, r, r.history)
 	r.answerer = confirmer.NewAnswerer(n.clock, r.readRevision)
 	if n.settings.CrossDataCentreCost > 0 {
 		r.pusher.UseRelays(r, n.settings.DataCentre)
@@ -198,18 +202,14 @@
 		reply, err := r.acceptor.Query(p)
 		return reply, rpcError(err)
 	})
-	addHandler(m, methodDocument, func(context.Context, emptyMessage) (distributor.Document, error) {
-		local := r.Local()
-		if local == nil {
-			return distributor.Document{}, nil
-		}
-		return distributor.NewDocument(local), nil
+	addHandler(m, methodDocument, func(_ context.Context, p fetchRequest) (distributor.Document, error) {
+		return r.documentFor(p), nil
 	})
-	addHandler(m, methodChange, func(ctx context.Context, p replicator.Change) (changeReply, error) {
-		version, err := r.applyChange(ctx, &p)
+	addHandler(m, methodChange, func(ctx context.Context, p changeRequest) (changeReply, error) {
+		version, err := r.applyChange(ctx, &p.Change)
 		reply, err := newChangeReply(version, err)
-		if local := r.Local(); err == nil && local != nil {
-			document := distributor.NewDocument(local)
+		if err == nil && r.Local() != nil {
+			document := r.history.Document(p.InForce)
 			reply.Document = &document
 		}
 		return reply, err
@@ -221,20 +221,30 @@
 		answer, err := r.answerer.Answer(ctx)
 		return answer, rpcError(err)
 	})
-	addHandler(m, methodPush, func(_ context.Context, p distributor.Document) (emptyMessage, error) {
-		return emptyMessage{}, r.node.activatePacked(&p, sourcePush)
+	addHandler(m, methodPush, func(_ context.Context, p distributor.Document) (distributor.PushReply, error) {
+		err := r.node.activatePacked(&p, sourcePush)
+		if errors.Is(err, distributor.ErrNoBase) {
+			return distributor.PushReply{IsMissing: true, InForce: r.node.revision()}, nil
+		}
+		return distributor.PushReply{}, err
 	})
 	addHandler(m, methodDeputy, func(ctx context.Context, p deputyRequest) (emptyMessage, error) {
 		return emptyMessage{}, rpcError(r.pushFor(ctx, p))
 	})
-	addHandler(m, methodRelay, func(ctx context.Context, p distributor.Document) (relayReply, error) {
-		if err := r.node.activatePacked(&p, sourcePush); err != nil {
+	addHandler(m, methodRelay, func(ctx context.Context, p relayRequest) (relayReply, error) {
+		if err := r.node.activatePacked(&p.Document, sourcePush); err != nil {
 			return relayReply{}, err
 		}
-		return relayReply{Reached: r.pusher.PassOn(ctx, p, r.node.settings.DataCentre)}, nil
+		return relayReply{Reached: r.pusher.PassOn(ctx, p.Document, p.Members)}, nil
 	})
 }
 
+// relayRequest asks a node to pass a value on to members.
+type relayRequest struct {
+	Document distributor.Document `json:"document"`
+	Members  []string             `json:"members"`
+}
+
 // deputyRequest asks a node to push its value, if it has the revision or a newer one, to a member that the sender doesn't reach.
 type deputyRequest struct {
 	Member   string `json:"member"`
--- a/internal/relayer/registerlinks.go
+++ b/internal/relayer/registerlinks.go
@@ -19,10 +19,32 @@
 	return r.node.revision()
 }
 
-// Fetch implements distributor.FetchNode.
+// fetchRequest asks for the value in force.
+type fetchRequest struct {
+	// InForce is the revision that the sender has in force.
+	InForce uint64 `json:"in-force,omitempty"`
+	// MaxBytes is the size of the largest text or patch to be sent, compressed; zero for no limit.
+	MaxBytes int `json:"max-bytes,omitempty"`
+}
+
+// documentFor returns the document for a request. One that is larger than the request allows comes without its text.
+func (r *register) documentFor(request fetchRequest) distributor.Document {
+	document := r.history.Document(request.InForce)
+	if size := document.Size(); request.MaxBytes > 0 && size > request.MaxBytes {
+		document = document.Question()
+		document.WholeBytes = size
+	}
+	return document
+}
+
+// Fetch implements distributor.FetchNode. A large document is asked for when the member has just answered, and one at a time.
 func (r *register) Fetch(ctx context.Context, from gossiper.Member) error {
+	request := fetchRequest{InForce: r.node.revision(), MaxBytes: distributor.MaxUnaskedBytes}
 	var document distributor.Document
-	err := r.node.messenger.CallIdempotent(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, emptyMessage{}, &document)
+	err := r.node.messenger.CallIdempotent(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, request, &document)
+	if err == nil && document.WholeBytes > 0 {
+		err = r.fetchLarge(ctx, from, &document)
+	}
 	if err == nil {
 		err = r.node.activatePacked(&document, sourceFetch)
 	}
@@ -33,6 +55,26 @@
 	return err
 }
 
+// fetchLarge gets the document with its text from a member, unless one that is as new is in force before its turn comes.
+func (r *register) fetchLarge(ctx context.Context, from gossiper.Member, document *distributor.Document) error {
+	select {
+	case r.largeFetch <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-r.largeFetch }()
+	if document.Revision <= r.node.revision() {
+		return nil
+	}
+	request := fetchRequest{InForce: r.node.revision()}
+	var whole distributor.Document
+	err := r.node.messenger.CallForLarge(ctx, from.Control, messenger.PurposeConfiguration, methodDocument, request, &whole, document.WholeBytes)
+	if err == nil {
+		*document = whole
+	}
+	return err
+}
+
 // LiveMembers implements distributor.PushNode.
 func (r *register) LiveMembers() []gossiper.Member {
 	var live []gossiper.Member
@@ -55,14 +97,17 @@
 }
 
 // Push implements distributor.PushNode.
-func (r *register) Push(ctx context.Context, to gossiper.Member, document distributor.Document) error {
-	return r.node.messenger.CallIdempotent(ctx, to.Control, messenger.PurposeConfiguration, methodPush, document, nil)
+func (r *register) Push(ctx context.Context, to gossiper.Member, document distributor.Document) (distributor.PushReply, error) {
+	var reply distributor.PushReply
+	err := r.node.messenger.CallIdempotent(ctx, to.Control, messenger.PurposeConfiguration, methodPush, document, &reply)
+	return reply, err
 }
 
 // PushToRelay implements distributor.RelayNode.
-func (r *register) PushToRelay(ctx context.Context, to gossiper.Member, document distributor.Document) ([]string, error) {
+func (r *register) PushToRelay(ctx context.Context, to gossiper.Member, document distributor.Document, others []string) ([]string, error) {
 	var reply relayReply
-	err := r.node.messenger.Call(ctx, to.Control, messenger.PurposeConfiguration, methodRelay, document, &reply)
+	request := relayRequest{Document: document, Members: others}
+	err := r.node.messenger.Call(ctx, to.Control, messenger.PurposeConfiguration, methodRelay, request, &reply)
 	return reply.Reached, err
 }
 
@@ -86,7 +131,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deputyPushTimeout)
 	defer cancel()
-	return r.pusher.PushFor(ctx, request.Member, local)
+	return r.pusher.PushFor(ctx, request.Member)
 }
 
 // deputyPushTimeout limits how long a node pushes a value for another one, which waits a little longer.
--- a/internal/relayer/registervalue.go
+++ b/internal/relayer/registervalue.go
@@ -31,24 +31,37 @@
 	source valueSource
 	// at is when the message with the value had been read, or the round was over.
 	at time.Time
-	// bytes is the size of the compressed text in the message; zero if there was none.
+	// bytes is the size of the compressed text or patch in the message; zero if there was none.
 	bytes int
 }
 
 // activatePacked puts a document from another node in force, unless the current one is as new or newer.
 func (n *Node) activatePacked(p *distributor.Document, source valueSource) error {
-	arrived := arrival{source: source, at: n.clock.Now(), bytes: len(p.Packed)}
+	arrived := arrival{source: source, at: n.clock.Now(), bytes: p.Size()}
 	if p.Revision <= n.revision() {
 		n.meter.Event("values_arrived_again")
 		return nil
 	}
-	value, err := p.Value()
+	if err := n.checkDeployment(p.Deployment); err != nil {
+		return err
+	}
+	value, err := p.Value(n.register.Local())
 	if err != nil {
 		return err
 	}
 	return n.activateArrived(value, arrived)
 }
 
+// checkDeployment returns an error if the deployment is not that of the value in force.
+func (n *Node) checkDeployment(deployment string) error {
+	local := n.register.Local()
+	if local == nil || local.Deployment == deployment {
+		return nil
+	}
+	n.meter.Event("foreign_documents")
+	return fmt.Errorf("document of another deployment: %s, not %s", deployment, local.Deployment)
+}
+
 // activateValue puts a value of the register in force that came without a message, as activateArrived does.
 func (n *Node) activateValue(value *replicator.Value, source valueSource) error {
 	return n.activateArrived(value, arrival{source: source, at: n.clock.Now()})
@@ -60,9 +73,8 @@
 	// The same document can come in several ways at once, and takes long to parse on a slow VM.
 	n.parseMu.Lock()
 	defer n.parseMu.Unlock()
-	if local := n.register.Local(); local != nil && local.Deployment != value.Deployment {
-		n.meter.Event("foreign_documents")
-		return fmt.Errorf("document of another deployment: %s, not %s", value.Deployment, local.Deployment)
+	if err := n.checkDeployment(value.Deployment); err != nil {
+		return err
 	}
 	if value.Revision <= n.revision() {
 		return nil
@@ -71,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	n.register.history.Add(value)
 	if n.activate(document, value) {
 		n.meter.Event("values_by_" + string(arrived.source))
 		n.log.Info("A value of the register is in force.", "version", value.Version, "revision", value.Revision,
--- a/internal/replicator/packer.go
+++ b/internal/replicator/packer.go
@@ -10,8 +10,8 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// maxTextBytes is the size of the longest text that Unpack returns.
-const maxTextBytes = 4 << 20
+// MaxTextBytes is the size of the longest text that Unpack returns.
+const MaxTextBytes = 4 << 20
 
 // ErrUnpack is wrapped by the error of Unpack for data that is malformed or decompresses to too long a text.
 var ErrUnpack = merry.Sentinel("text can't be unpacked")
@@ -40,18 +40,18 @@
 	return w
 }}
 
-// Unpack returns the text that Pack compressed, up to maxTextBytes. The error wraps ErrUnpack.
+// Unpack returns the text that Pack compressed, up to MaxTextBytes. The error wraps ErrUnpack.
 func Unpack(packed []byte) (string, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrUnpack, err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxTextBytes+1))
+	text, err := io.ReadAll(io.LimitReader(r, MaxTextBytes+1))
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrUnpack, err)
 	}
-	if len(text) > maxTextBytes {
-		return "", fmt.Errorf("%w: more than %d bytes", ErrUnpack, maxTextBytes)
+	if len(text) > MaxTextBytes {
+		return "", fmt.Errorf("%w: more than %d bytes", ErrUnpack, MaxTextBytes)
 	}
 	return string(text), nil
 }
