Fetch a first document from nodes with a disk, and wait for another fetch no longer than its turn

Cause: a node that starts asked any member for the whole document, also over that member's thin link, and since large documents are fetched one at a time, a source that ends within its answer would have held up the others for 2.6 s.

Change: every other try goes to a member with a disk; a large fetch waits 0.6 s for its turn.

--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -378,21 +379,32 @@
 	firstPeerInterval = 20 * time.Millisecond
 )
 
-// pullFirstDocument asks random live members for a document until one is in force, be it from a file, or ctx is done. A
-// node that has just started refuses all requests until then, and gossip and pushes can take longer to reach it.
+// pullFirstDocument asks live members for a document until one is in force, be it from a file, or ctx is done. A node that has just
+// started refuses all requests until then, and gossip and pushes can take longer to reach it.
 func (n *Node) pullFirstDocument(ctx context.Context) {
-	for ctx.Err() == nil && n.active.Load() == nil {
+	for try := 0; ctx.Err() == nil && n.active.Load() == nil; try++ {
 		wait := firstDocumentInterval
-		if peers := n.livePeers(); len(peers) == 0 && n.isStarting() {
-			wait = firstPeerInterval
-		} else if len(peers) > 0 {
+		if sources := n.documentSources(try%2 == 0); len(sources) > 0 {
 			// A failed request is repeated with another member.
-			_ = n.register.Fetch(ctx, gossiper.Member{Control: peers[rand.N(len(peers))]})
+			_ = n.register.Fetch(ctx, sources[rand.N(len(sources))])
+		} else if n.isStarting() {
+			wait = firstPeerInterval
 		}
 		timekeeper.Sleep(ctx, n.clock, wait)
 	}
 }
 
+// documentSources returns the live members that a document can be fetched from: those with a disk, which all documents come from, if
+// prefersDisks is set and there are any. The links of the others can be thin, and their documents older.
+func (n *Node) documentSources(prefersDisks bool) []gossiper.Member {
+	live := n.register.LiveMembers()
+	withDisk := slices.DeleteFunc(slices.Clone(live), func(m gossiper.Member) bool { return m.DiskID == "" })
+	if prefersDisks && len(withDisk) > 0 {
+		return withDisk
+	}
+	return live
+}
+
 // learnChosen checks on a control replica whether a value that it has accepted was chosen, until ctx is done.
 func (n *Node) learnChosen(ctx context.Context) {
 	if n.register.acceptor == nil {
--- a/internal/relayer/registerlinks.go
+++ b/internal/relayer/registerlinks.go
@@ -55,14 +55,18 @@
 	return err
 }
 
+// largeFetchTurn is how long a fetch of a large document waits for another one, which may be from a member that has ended since.
+const largeFetchTurn = 600 * time.Millisecond
+
 // fetchLarge gets the document with its text from a member, unless one that is as new is in force before its turn comes.
 func (r *register) fetchLarge(ctx context.Context, from gossiper.Member, document *distributor.Document) error {
+	turn, cancel := context.WithTimeout(ctx, largeFetchTurn)
+	defer cancel()
 	select {
 	case r.largeFetch <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+		defer func() { <-r.largeFetch }()
+	case <-turn.Done():
 	}
-	defer func() { <-r.largeFetch }()
 	if document.Revision <= r.node.revision() {
 		return nil
 	}
