Less garbage for each version of a large document

Cause: a node makes 5 MB of garbage for a version of 2,800 routes, and its collector runs with a small heap on 0.16 of a core.

--- a/internal/relayer/node.go
+++ b/internal/relayer/node.go
@@ -120,7 +120,7 @@
 	// controlListeners serve operators and the upstream. They go on while the node drains.
 	controlListeners []*listener.Listener
 	interpreter      Interpreter
-	parseDocument    func(text []byte) (*validator.Document, error)
+	parseDocument    func(text string) (*validator.Document, error)
 	policy           router.Policy
 	prober           *prober.Prober
 	// uptime returns the time since the start of the machine, with the time for which it was suspended.
@@ -157,7 +157,7 @@
 	n.events = newEventLog(n.clock, n.settings.LogLinesPerSecond, n.log, n.meter)
 	n.peakNodes = newPeakNodeCount(n.clock)
 	n.interpreter = interpreter.Native{}
-	n.parseDocument = validator.Parse
+	n.parseDocument = func(text string) (*validator.Document, error) { return validator.Parse([]byte(text)) }
 	n.network = systemNetwork{}
 	n.policy = router.Weighted{}
 	n.uptime = timekeeper.Uptime
--- a/internal/relayer/options.go
+++ b/internal/relayer/options.go
@@ -31,7 +31,7 @@
 }
 
 // WithParser replaces the parser for the text of a document.
-func WithParser(parse func(text []byte) (*validator.Document, error)) Option {
+func WithParser(parse func(text string) (*validator.Document, error)) Option {
 	return func(n *Node) { n.parseDocument = parse }
 }
 
--- a/internal/relayer/registervalue.go
+++ b/internal/relayer/registervalue.go
@@ -104,7 +104,7 @@
 	if current != nil && current.value != nil && current.value.Version == value.Version && current.value.Text == value.Text {
 		return current.document, nil
 	}
-	document, err := n.parseDocument([]byte(value.Text))
+	document, err := n.parseDocument(value.Text)
 	if !asserter.That(err == nil, "register-valid", "version %d: %v", value.Version, err) {
 		return nil, err
 	}
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -207,15 +207,15 @@
 	document *validator.Document
 }
 
-func (p *sharedParser) parse(text []byte) (*validator.Document, error) {
+func (p *sharedParser) parse(text string) (*validator.Document, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.document != nil && p.text == string(text) {
+	if p.document != nil && p.text == text {
 		return p.document, nil
 	}
-	document, err := validator.Parse(text)
+	document, err := validator.Parse([]byte(text))
 	if err == nil {
-		p.text, p.document = string(text), document
+		p.text, p.document = text, document
 	}
 	return document, err
 }
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -262,7 +262,7 @@
 
 func (c *checker) checkRoutes() {
 	c.checkCount("routes", len(c.document.Routes), maxRoutes)
-	seen := make(map[string]bool, len(c.document.Routes))
+	seen := make(map[routeKey]bool, len(c.document.Routes))
 	for i := range c.document.Routes {
 		first := len(c.errors)
 		c.checkRoute("", &c.document.Routes[i], seen)
@@ -275,7 +275,7 @@
 }
 
 // checkRoute checks a route. The names of its fields begin with field.
-func (c *checker) checkRoute(field string, route *Route, seen map[string]bool) {
+func (c *checker) checkRoute(field string, route *Route, seen map[routeKey]bool) {
 	if !strings.HasPrefix(route.PathPrefix, "/") {
 		c.addError(field+".path-prefix", route.PathPrefix, "want a path that starts with /")
 	}
@@ -290,21 +290,35 @@
 	c.checkDuration(field+".deadline", route.Deadline, maxDeadline)
 	c.checkOptionalDuration(field+".target-latency", route.TargetLatency, maxDeadline)
 	c.checkRange(field+".attempts", float64(route.Attempts), 0, maxAttempts)
+	key := routeKey{host: HostName(route.Host), pathPrefix: route.PathPrefix}
 	if len(route.Methods) == 0 {
-		c.checkUniqueRoute(field, HostName(route.Host)+" "+route.PathPrefix, seen)
+		c.checkUniqueRoute(field, key, seen)
 	}
 	for j, method := range route.Methods {
 		name := fmt.Sprintf("%s.methods[%d]", field, j)
 		if !knownMethods[method] {
 			c.addError(name, method, "no such method")
 		}
-		c.checkUniqueRoute(name, HostName(route.Host)+" "+method+" "+route.PathPrefix, seen)
+		key.method = method
+		c.checkUniqueRoute(name, key, seen)
 	}
 }
 
-// checkUniqueRoute rejects a second route with the same key: the host, the method if the route names methods, and the
-// path prefix.
-func (c *checker) checkUniqueRoute(field, key string, seen map[string]bool) {
+// routeKey is what no two routes have in common. The method is empty if the route names none.
+type routeKey struct {
+	host, method, pathPrefix string
+}
+
+// String implements fmt.Stringer.
+func (k routeKey) String() string {
+	if k.method == "" {
+		return k.host + " " + k.pathPrefix
+	}
+	return k.host + " " + k.method + " " + k.pathPrefix
+}
+
+// checkUniqueRoute rejects a second route with the same key.
+func (c *checker) checkUniqueRoute(field string, key routeKey, seen map[routeKey]bool) {
 	if seen[key] {
 		c.addError(field, key, "already routed")
 	}
