--- a/internal/relayer/spreadsoak_test.go
+++ b/internal/relayer/spreadsoak_test.go
@@ -20,6 +20,10 @@
 	spreadTime  = flag.Duration("spread.time", 30*time.Second, "how long TestSoakOfSpreading injects faults")
 	spreadFirst = flag.Uint64("spread.first", 1, "first seed of TestSoakOfSpreading")
 	spreadNodes = flag.Int("spread.nodes", 20, "nodes of TestSoakOfSpreading, five of them with a disk")
+	// spreadRoutes, spreadMbps and spreadRelayed vary TestSoakOfSpreading by hand.
+	spreadRoutes  = flag.Int("spread.routes", 0, "routes that are added to the document of TestSoakOfSpreading")
+	spreadMbps    = flag.Float64("spread.mbps", 0, "width of the links of nodes without a disk, in megabits per second; 0 for no limit")
+	spreadRelayed = flag.Bool("spread.relayed", false, "whether changes go through relays")
 )
 
 const (
@@ -67,7 +71,10 @@
 
 func playChurn(t *testing.T, seed uint64) {
 	random := &lockedSource{random: rand.New(rand.NewPCG(seed, 7))}
-	f := newSpreadFleet(t, &spreadScenario{Seed: seed, Members: *spreadNodes, LossPercent: random.intn(4)}, false)
+	scenario := &spreadScenario{
+		Seed: seed, Members: *spreadNodes, LossPercent: random.intn(4), Routes: *spreadRoutes, LinkMbps: *spreadMbps,
+	}
+	f := newSpreadFleet(t, scenario, *spreadRelayed)
 	defer f.close()
 	time.Sleep(spreadFormTime)
 	f.change(0)
