Count and log answers that belong to no request which waits

An answer of the upstream to another request, or one that may be a copy of an earlier refusal, was skipped without a trace. answers_skipped counts these, and a line names the request that waited, the status, and whether the answer names another request. No answer is treated otherwise than before.

Run: forwarder, relayer (answers), build.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -138,6 +138,8 @@
 	Deadline time.Time
 	// NewConnection requests a new connection that is closed after the exchange.
 	NewConnection bool
+	// OnSkipped is called with the header of each response that is skipped. It can be nil.
+	OnSkipped func(header *fasthttp.ResponseHeader)
 	// OnOverdue is called when ExpectedFirstByte has passed without a byte of the response. It returns how long to
 	// wait until the next call, or zero to give up with ErrOverdue. It can be nil.
 	OnOverdue func() time.Duration
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -42,6 +42,9 @@
 			return nil
 		}
 		holding.Release()
+		if x.OnSkipped != nil {
+			x.OnSkipped(&x.Response.Header)
+		}
 		if x.Response.ConnectionClose() {
 			return ErrForeign
 		}
--- a/internal/relayer/callpath.go
+++ b/internal/relayer/callpath.go
@@ -66,7 +66,7 @@
 		AddContext:        n.addContext,
 		Upstream:          n.upstream,
 	})
-	n.upstream.observer = n.executor
+	n.upstream.observer, n.upstream.answerSkipped = n.executor, n.answerSkipped
 	n.buildDispatcher(sender, peers)
 }
 
--- a/internal/relayer/eventlog.go
+++ b/internal/relayer/eventlog.go
@@ -207,6 +207,14 @@
 		"instance", process.Instance, "error", err)
 }
 
+// answerSkipped counts and logs an answer of the upstream that came while the request with the id waited and isn't that one's.
+func (n *Node) answerSkipped(waiting string, header *fasthttp.ResponseHeader) {
+	n.meter.Event("answers_skipped")
+	answer := n.interpreter.ReadAnswer(header)
+	n.events.write(false, "An answer of the upstream belongs to no request that waits for it.", "request", waiting, "names-another", answer.ID != "",
+		"status", header.StatusCode(), "not-run", answer.NotRun)
+}
+
 // isRoutine reports whether the outcome is normal in operation: an answer, a request that was handed back, or an
 // attempt that was cancelled, such as the slower one of a hedged call.
 func isRoutine(outcome *carrier.Outcome) bool {
--- a/internal/relayer/upstream.go
+++ b/internal/relayer/upstream.go
@@ -31,7 +31,10 @@
 	clock       timekeeper.Clock
 	interpreter Interpreter
 	observer    upstreamObserver
-	options     []forwarder.Option
+	// answerSkipped is called for each answer that belongs to no request which waits on its connection, with the id of the one that
+	// does.
+	answerSkipped func(waiting string, header *fasthttp.ResponseHeader)
+	options       []forwarder.Option
 
 	mu      sync.Mutex
 	address netip.AddrPort
@@ -45,8 +48,8 @@
 	UpdateLoad(load interpreter.Load)
 }
 
-// newLocalUpstream returns an upstream whose address is not known. Its field observer is to be set before the first
-// request.
+// newLocalUpstream returns an upstream whose address is not known. Its fields observer and answerSkipped are to be set before the
+// first request.
 func newLocalUpstream(clock timekeeper.Clock, i Interpreter, options ...forwarder.Option) *localUpstream {
 	return &localUpstream{clock: clock, interpreter: i, options: options}
 }
@@ -116,6 +119,7 @@
 		answer = u.interpreter.ReadAnswer(header)
 		return answer.ID == "" || x.ID == "" || answer.ID == x.ID
 	}
+	x.OnSkipped = func(header *fasthttp.ResponseHeader) { u.answerSkipped(x.ID, header) }
 	x.Rejection = func() forwarder.Rejection { return rejectionOf(answer, x.ID) }
 	if err := pool.Do(ctx, x); err != nil {
 		return err
--- a/internal/relayer/upstream_test.go
+++ b/internal/relayer/upstream_test.go
@@ -148,7 +148,7 @@
 func (s *answerScript) run(t *testing.T, headers *answerHeaders) {
 	address := serveScript(t, s, headers)
 	upstream := newLocalUpstream(timekeeper.System{}, headers.interpreter)
-	upstream.observer = ignoredAnswers{}
+	upstream.observer, upstream.answerSkipped = ignoredAnswers{}, func(string, *fasthttp.ResponseHeader) {}
 	upstream.reconnect(announcer.Announcement{Address: address.String(), Instance: "i"})
 	for i, request := range s.Requests {
 		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
