Take a refusal that names no request as proof on an unused connection alone

An upstream wrote a refusal without an id on a kept connection, late; the entry took it for the proof that the waiting request had not run, and sent it to another upstream.

Cause: such a refusal was taken unless another request had failed on the connection before. One that was due elsewhere needs no failure here.

Why it works: what names no request counts only as the first answer on its connection, where nothing else can have been meant. Later, it is skipped and the request's own answer is waited for, as upstreams repeat ids; without one the outcome is unknown and nothing runs again.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -17,6 +17,8 @@
 	net.Conn
 	// failedIDs are the ids of the requests whose responses were failures.
 	failedIDs map[string]struct{}
+	// isUsed is true if an exchange on the connection has ended.
+	isUsed bool
 	// keepAlive limits the idle time by the server's Keep-Alive header; zero if there was none.
 	keepAlive time.Duration
 	opened    time.Time
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -146,8 +146,8 @@
 	// ID is the id that responses to the request repeat; empty if they repeat none. A connection on which a request with
 	// the same ID has failed is not used, because a copy of that failure could be taken for the response.
 	ID string
-	// Rejection returns what the response states that Accept took last. An unidentified rejection is skipped where it could be a
-	// copy of an earlier one on the connection, and closes the connection elsewhere. If nil, no response is a rejection.
+	// Rejection returns what the response states that Accept took last. An unidentified rejection is skipped where it could be meant
+	// for another request on the connection, and closes the connection elsewhere. If nil, no response is a rejection.
 	Rejection func() Rejection
 	// MaxIdle limits how long a reused connection may have been idle; zero means the pool's limit.
 	MaxIdle time.Duration
--- a/internal/forwarder/identity.go
+++ b/internal/forwarder/identity.go
@@ -26,15 +26,19 @@
 	return x.Rejection()
 }
 
-// isUnproven reports whether the response states that a request was not run but might be a copy of an earlier one on the
-// connection.
+// isUnproven reports whether the response states that a request was not run but not which one, and may have been meant for another
+// one: the connection has carried others. Requests without an ID are trusted to get their responses in order until one has failed.
 func (c *conn) isUnproven(x *Exchange) bool {
-	return x.rejection() == UnidentifiedRejection && len(c.failedIDs) > 0
+	if x.rejection() != UnidentifiedRejection {
+		return false
+	}
+	return x.ID != "" && c.isUsed || len(c.failedIDs) > 0
 }
 
 // recordResponse remembers the request's id if its response is a failure, since a copy of that could be taken for the
 // response to a later request with the same id. It reports whether the connection can carry further requests.
 func (c *conn) recordResponse(x *Exchange) (reusable bool) {
+	c.isUsed = true
 	if x.rejection() == UnidentifiedRejection {
 		return false
 	}
