Run a round for an order to evacuate that changes nothing

What operators saw: an order was acknowledged and undone later, without another one. Order one (evacuate) got no answer, and one replica of five had accepted it; order two (withdraw) was acknowledged after a read by a majority that knew nothing of the first; the next round found the first one at the replica and carried it out.

Cause: answers orders that change nothing after a read. A read shows what is chosen, and doesn't end what a minority has accepted under a higher ballot; a round does.

TestOrderEndsEarlierOne fails on the code before.

Why it works: the value that the order's round gets accepted has a higher ballot at a majority, so that no round takes up the earlier one. Changes of the document always ran a round. A further order costs its round; nothing sends them in a row.

--- a/internal/replicator/evacuation.go
+++ b/internal/replicator/evacuation.go
@@ -31,26 +31,17 @@
 	Value *Value
 	// Changed is false if the value was as ordered before.
 	Changed bool
-	// Acknowledged are the VMs whose replicas have stored the value in a round; none if a read has shown that it was chosen before.
+	// Acknowledged are the VMs whose replicas have stored the value in the order's round.
 	Acknowledged []string
 }
 
-// Evacuate carries out the order. Its result is nil if that is not known to be chosen. An order that changes nothing succeeds
-// too, once a read or a round has shown that the value is chosen. The error wraps ErrUnknownDataCentre or ErrLastDataCentre for an order that
+// Evacuate carries out the order. Its result is nil if that is not known to be chosen. An order that changes nothing runs a round
+// too: a read can't end an earlier order about which a minority of the replicas knows, so that it would be carried out later. The error wraps ErrUnknownDataCentre or ErrLastDataCentre for an order that
 // can't be carried out.
 func (p *Proposer) Evacuate(ctx context.Context, order *Evacuation) (*EvacuationResult, error) {
 	if !slices.Contains(order.Known, order.DataCentre) {
 		return nil, fmt.Errorf("%w: %s", ErrUnknownDataCentre, order.DataCentre)
 	}
-	if value := p.queryMajority(ctx); value != nil {
-		evacuated, err := order.applyTo(value.Evacuated)
-		if err != nil {
-			return nil, err
-		}
-		if slices.Equal(evacuated, value.Evacuated) {
-			return &EvacuationResult{Value: value}, nil
-		}
-	}
 	result := &EvacuationResult{}
 	value, round, err := p.runObserved(ctx, func(current *Value) (*Value, error) {
 		result.Changed = false
--- a/internal/replicator/evacuation_test.go
+++ b/internal/replicator/evacuation_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 )
 
 var testDataCentres = []string{"x", "y", "z"}
@@ -20,6 +22,29 @@
 	return &Evacuation{DataCentre: dataCentre, Known: testDataCentres, Withdrawn: withdrawn}
 }
 
+// TestOrderEndsEarlierOne guards against an order that is acknowledged since it changes nothing, and is undone by an earlier one whose
+// outcome was unknown: one replica had accepted that.
+func TestOrderEndsEarlierOne(t *testing.T) {
+	c := newCluster(t, "a", "b", "c", "d", "e")
+	replicas := c.bootstrap("a", "b", "c", "d", "e")
+	broken := NewProposer(timekeeper.System{}, "broken", limitedAccepts{Transport: c, reached: []string{"e"}})
+	broken.SetConfirmedReplicas(replicas)
+	if _, err := broken.Evacuate(t.Context(), order("x", false)); err == nil {
+		t.Fatal("an order that one replica of five has accepted was acknowledged")
+	}
+	c.setUnreachable("e", true)
+	if _, err := c.proposer("p", replicas).Evacuate(t.Context(), order("x", true)); err != nil {
+		t.Fatal(err)
+	}
+	c.setUnreachable("e", false)
+	c.setUnreachable("a", true)
+	c.setUnreachable("b", true)
+	value, err := c.proposer("q", replicas).Repair(t.Context())
+	if err != nil || len(value.Evacuated) > 0 {
+		t.Errorf("after the order was acknowledged: %+v, error %v, want nothing evacuated", value, err)
+	}
+}
+
 // TestOrdersAreCarriedOut covers which orders change what, and which are refused.
 func TestOrdersAreCarriedOut(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
