Send differences in rounds of the register

A round sent each replica the whole value: the document and, in its history, the same text once more and the one before; 633 kB for one route of 2,800.

Change: Accept goes as the difference from the value that the proposer knows to be chosen, which a replica applies to what it has accepted under that ballot; texts of the history and results of earlier changes come from there. A replica that has accepted another value, or is of an earlier version, gets the whole. What the acceptor accepts, and when, is as before. Patches of texts are one type now, in rounds and in pushes.

Evidence: TestRoundsSendDifferences (five whole nodes in virtual time) has 13,971 bytes sent for a change, 632,694 before; the packed document has 30,994. The models of the register take every other accept through a difference: 10,000 seeds of interrupted rounds. TestRoundsReachEarlierVersions plays mixed replicas.

--- a/internal/distributor/document.go
+++ b/internal/distributor/document.go
@@ -1,6 +1,7 @@
 package distributor
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
@@ -22,14 +23,12 @@
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Packed is the whole text, compressed by replicator.Pack.
 	Packed []byte `json:"packed,omitempty"`
-	// Patch leads from the text of Base to the text. It is one of patcher, compressed by replicator.Pack.
-	Patch    []byte               `json:"patch,omitempty"`
+	// TextPatch leads from the text of Base to the text.
+	replicator.TextPatch
 	Replicas []replicator.Replica `json:"replicas"`
 	// ReplicasRevision is that of the value.
 	ReplicasRevision uint64 `json:"replicas-revision,omitempty"`
 	Revision         uint64 `json:"revision"`
-	// Sum is patcher.Sum of the text if there is a patch.
-	Sum uint64 `json:"sum,omitempty"`
 	// WholeBytes is the size of Packed, if a fetch leaves it out for its size.
 	WholeBytes int    `json:"whole-bytes,omitempty"`
 	Version    uint64 `json:"version"`
@@ -68,7 +67,7 @@
 // Question returns the document without its text.
 func (d *Document) Question() Document {
 	question := *d
-	question.Base, question.Packed, question.Patch, question.Sum = 0, nil, nil, 0
+	question.Base, question.Packed, question.TextPatch = 0, nil, replicator.TextPatch{}
 	return question
 }
 
@@ -94,16 +93,9 @@
 	case inForce == nil || inForce.Revision != d.Base:
 		return "", fmt.Errorf("%w: revision %d", ErrNoBase, d.Base)
 	}
-	patch, err := replicator.Unpack(d.Patch)
-	if err != nil {
-		return "", err
-	}
-	text, err := patcher.Apply(inForce.Text, []byte(patch), replicator.MaxTextBytes)
-	if err != nil {
-		return "", fmt.Errorf("%w: %w", ErrNoBase, err)
-	}
-	if patcher.Sum(text) != d.Sum {
-		return "", fmt.Errorf("%w: the patch on revision %d gives another text", ErrNoBase, d.Base)
+	text, err := d.ApplyTo(inForce.Text)
+	if errors.Is(err, patcher.ErrPatch) {
+		return "", fmt.Errorf("%w: from revision %d: %w", ErrNoBase, d.Base, err)
 	}
-	return text, nil
+	return text, err
 }
--- a/internal/distributor/history.go
+++ b/internal/distributor/history.go
@@ -115,7 +115,6 @@
 // newPatchedDocument returns the document that leads to a value from one with the revision and signature.
 func newPatchedDocument(value *replicator.Value, base uint64, signature patcher.Signature) Document {
 	document := newDocument(value)
-	document.Base, document.Sum = base, patcher.Sum(value.Text)
-	document.Patch = replicator.Pack(string(patcher.Make(signature, value.Text)))
+	document.Base, document.TextPatch = base, replicator.NewTextPatch(signature, value.Text)
 	return document
 }
--- a/internal/relayer/export_test.go
+++ b/internal/relayer/export_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/marigoldrelay/marigoldrelay/internal/budgeter"
@@ -18,6 +20,14 @@
 	n.activate(document, &replicator.Value{Revision: revision})
 }
 
+// ForgetDifferences makes the node refuse differences in rounds as one of an earlier version, which doesn't know the method. It must be
+// called before Start.
+func (n *Node) ForgetDifferences() {
+	n.messenger.Handle(methodAcceptDifference, func(context.Context, json.RawMessage) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + methodAcceptDifference}
+	})
+}
+
 // Dispatch serves a caller's request.
 func (n *Node) Dispatch(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) *refuser.Refusal {
 	return n.dispatcher.Dispatch(ctx, req, resp)
--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -100,6 +100,13 @@
 	m.lines[vm] = &memoryLine{bytesPerSecond: bytesPerSecond}
 }
 
+// sentBy returns the number of bytes that a VM has sent through its line.
+func (m *memoryNetwork) sentBy(vm netip.Addr) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lines[vm].sent
+}
+
 // arrival returns when bytes that are sent now arrive.
 func (m *memoryNetwork) arrival(from, to netip.Addr, bytes int) time.Time {
 	m.mu.Lock()
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -25,15 +25,16 @@
 
 // RPC methods of the register.
 const (
-	methodAccept   = "accept"
-	methodChange   = "change"
-	methodConfirm  = "confirm"
-	methodDeputy   = "deputy"
-	methodDocument = "document"
-	methodPrepare  = "prepare"
-	methodPush     = "push"
-	methodQuery    = "query"
-	methodRelay    = "relay"
+	methodAccept           = "accept"
+	methodAcceptDifference = "accept-difference"
+	methodChange           = "change"
+	methodConfirm          = "confirm"
+	methodDeputy           = "deputy"
+	methodDocument         = "document"
+	methodPrepare          = "prepare"
+	methodPush             = "push"
+	methodQuery            = "query"
+	methodRelay            = "relay"
 )
 
 // recoverInterval is the time between two attempts of a replica to use a disk that has failed.
@@ -43,6 +44,7 @@
 const (
 	codeGeneral   = 1
 	codeOtherDisk = 2
+	codeOtherBase = 3
 )
 
 var errNotReplica = merry.Sentinel("the node is no control replica")
@@ -64,6 +66,8 @@
 	history *distributor.History
 	// largeFetch is a semaphore that allows one fetch of a large document at a time.
 	largeFetch chan struct{}
+	// differences holds the difference that rounds send.
+	differences differenceCache
 	// answerer answers on a replica which revision is the newest.
 	answerer *confirmer.Answerer
 
@@ -135,24 +139,6 @@
 	return r.node.clock.Now().Sub(time.Unix(0, failedAt)).Seconds()
 }
 
-// Prepare implements replicator.Transport.
-func (r *register) Prepare(ctx context.Context, vm string, request replicator.PrepareRequest) (replicator.PrepareReply, error) {
-	var reply replicator.PrepareReply
-	return reply, r.call(ctx, vm, methodPrepare, request, &reply)
-}
-
-// Accept implements replicator.Transport.
-func (r *register) Accept(ctx context.Context, vm string, request replicator.AcceptRequest) (replicator.AcceptReply, error) {
-	var reply replicator.AcceptReply
-	return reply, r.call(ctx, vm, methodAccept, request, &reply)
-}
-
-// Query implements replicator.Transport.
-func (r *register) Query(ctx context.Context, vm string, request replicator.QueryRequest) (replicator.QueryReply, error) {
-	var reply replicator.QueryReply
-	return reply, r.call(ctx, vm, methodQuery, request, &reply)
-}
-
 // diskID returns the ID of the node's disk, or the empty string on a node without a data folder.
 func (r *register) diskID() string {
 	if r.acceptor == nil {
@@ -179,30 +165,7 @@
 }
 
 func (r *register) addHandlers(m *messenger.Messenger) {
-	addHandler(m, methodPrepare, func(_ context.Context, p replicator.PrepareRequest) (replicator.PrepareReply, error) {
-		if r.acceptor == nil {
-			return replicator.PrepareReply{}, rpcError(errNotReplica)
-		}
-		r.node.meter.Event("register_prepares")
-		reply, err := r.acceptor.Prepare(p)
-		return reply, rpcError(err)
-	})
-	addHandler(m, methodAccept, func(_ context.Context, p replicator.AcceptRequest) (replicator.AcceptReply, error) {
-		if r.acceptor == nil || p.Value == nil {
-			return replicator.AcceptReply{}, rpcError(errNotReplica)
-		}
-		r.node.meter.Event("register_accepts")
-		reply, err := r.acceptor.Accept(p)
-		return reply, rpcError(err)
-	})
-	addHandler(m, methodQuery, func(_ context.Context, p replicator.QueryRequest) (replicator.QueryReply, error) {
-		if r.acceptor == nil {
-			return replicator.QueryReply{}, rpcError(errNotReplica)
-		}
-		r.node.meter.Event("register_queries")
-		reply, err := r.acceptor.Query(p)
-		return reply, rpcError(err)
-	})
+	r.addRoundHandlers(m)
 	addHandler(m, methodDocument, func(_ context.Context, p fetchRequest) (distributor.Document, error) {
 		return r.documentFor(p), nil
 	})
@@ -262,6 +225,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, replicator.ErrOtherBase):
+		return &jsonrpc2.Error{Code: codeOtherBase, Message: err.Error()}
 	case errors.Is(err, replicator.ErrOtherDisk):
 		return &jsonrpc2.Error{Code: codeOtherDisk, Message: err.Error()}
 	default:
--- a/internal/relayer/spread_test.go
+++ b/internal/relayer/spread_test.go
@@ -70,6 +70,8 @@
 	LossPercent int `json:"loss-percent"`
 	// LinkMbps is the width of the links of the nodes without a disk, in megabits per second; zero for no limit.
 	LinkMbps float64 `json:"link-mbps"`
+	// Earlier are the numbers of the nodes of an earlier version, which doesn't know differences in rounds.
+	Earlier []int `json:"earlier"`
 	// Late are the numbers of the nodes that are not started with the others.
 	Late  []int        `json:"late"`
 	Steps []spreadStep `json:"steps"`
--- a/internal/relayer/spreadfleet_test.go
+++ b/internal/relayer/spreadfleet_test.go
@@ -141,6 +141,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if slices.Contains(f.scenario.Earlier, number) {
+		node.ForgetDifferences()
+	}
 	if err := node.Start(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/replicator/acceptor.go
+++ b/internal/replicator/acceptor.go
@@ -190,6 +190,9 @@
 
 // Accept stores the value unless a higher ballot was promised. The errors are those of Prepare.
 func (a *Acceptor) Accept(request AcceptRequest) (AcceptReply, error) {
+	if request.Value == nil {
+		return AcceptReply{}, errNoValue
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.ensureUsable(request.DiskID); err != nil {
@@ -214,6 +217,42 @@
 	return AcceptReply{OK: true, Promised: a.promise}, nil
 }
 
+// DifferenceRequest asks a replica to accept, under a ballot, the value to which a difference leads from the value that the replica has
+// accepted under another ballot.
+type DifferenceRequest struct {
+	Ballot     Ballot      `json:"ballot"`
+	Base       Ballot      `json:"base"`
+	Difference *Difference `json:"difference"`
+	DiskID     string      `json:"disk-id"`
+}
+
+// AcceptDifference is like Accept for the value that the difference leads to. The error wraps ErrOtherBase if the replica has not
+// accepted the value that the difference is from.
+func (a *Acceptor) AcceptDifference(request DifferenceRequest) (AcceptReply, error) {
+	value, err := a.valueOf(&request)
+	if err != nil {
+		return AcceptReply{}, err
+	}
+	return a.Accept(AcceptRequest{Ballot: request.Ballot, DiskID: request.DiskID, Value: value})
+}
+
+// valueOf returns the value that a request leads to, which is the accepted one if the same request came before.
+func (a *Acceptor) valueOf(request *DifferenceRequest) (*Value, error) {
+	a.mu.Lock()
+	accepted := a.accepted
+	a.mu.Unlock()
+	switch {
+	case accepted.Value == nil || request.Difference == nil:
+		return nil, fmt.Errorf("%w: nothing is accepted", ErrOtherBase)
+	case accepted.Ballot == request.Ballot && request.Difference.leadsTo(accepted.Value):
+		return accepted.Value, nil
+	case accepted.Ballot != request.Base:
+		return nil, fmt.Errorf("%w: accepted under ballot %d of %s", ErrOtherBase, accepted.Ballot.Number, accepted.Ballot.Proposer)
+	default:
+		return request.Difference.Apply(accepted.Value)
+	}
+}
+
 // promiseBallot stores the promise of a ballot that is not below the one promised before. Requests that are sent again write
 // nothing.
 func (a *Acceptor) promiseBallot(ballot Ballot) error {
@@ -310,8 +349,12 @@
 	return nil
 }
 
-// errClosed is returned by every request to a closed replica.
-var errClosed = merry.Sentinel("the replica is closed")
+var (
+	// errClosed is returned by every request to a closed replica.
+	errClosed = merry.Sentinel("the replica is closed")
+	// errNoValue is returned by a request to accept no value.
+	errNoValue = merry.Sentinel("the request has no value")
+)
 
 // Close makes the replica reject all further requests and releases its folder. Further calls do nothing.
 func (a *Acceptor) Close() error {
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -357,6 +357,12 @@
 	p.replicasConfirmed = true
 }
 
+// Chosen returns the newest value that the proposer knows to be chosen, with its ballot, or nil.
+func (p *Proposer) Chosen() (Ballot, *Value) {
+	chosen := p.lastChosen()
+	return chosen.Ballot, chosen.Value
+}
+
 // lastChosen returns the newest value that the proposer knows to be chosen, with its ballot.
 func (p *Proposer) lastChosen() acceptedValue {
 	p.mu.Lock()
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +32,8 @@
 type cluster struct {
 	folder string
 	tb     testing.TB
+	// accepts counts the requests to accept a value.
+	accepts atomic.Uint64
 
 	mu        sync.Mutex
 	acceptors map[string]*Acceptor
@@ -194,13 +198,46 @@
 	if err != nil {
 		return AcceptReply{}, err
 	}
-	reply, err := a.Accept(request)
+	reply, err := c.accept(a, request)
 	if err == nil && loseReply {
 		return AcceptReply{}, errMessageLost
 	}
 	return reply, err
 }
 
+// accept passes every other request on as the difference from what the replica has accepted, and whole if the replica has got
+// another value meanwhile.
+func (c *cluster) accept(a *Acceptor, request AcceptRequest) (AcceptReply, error) {
+	a.mu.Lock()
+	accepted := a.accepted
+	a.mu.Unlock()
+	if accepted.Value == nil || c.accepts.Add(1)%2 == 0 {
+		return a.Accept(request)
+	}
+	sent := DifferenceRequest{
+		Ballot: request.Ballot, Base: accepted.Ballot, Difference: makeDifference(accepted.Value, request.Value), DiskID: request.DiskID,
+	}
+	var received DifferenceRequest
+	copyByJSON(c.tb, sent, &received)
+	reply, err := a.AcceptDifference(received)
+	if errors.Is(err, ErrOtherBase) {
+		return a.Accept(request)
+	}
+	return reply, err
+}
+
+// copyByJSON copies a message as a replica receives it.
+func copyByJSON(tb testing.TB, from, to any) {
+	tb.Helper()
+	encoded, err := json.Marshal(from)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := json.Unmarshal(encoded, to); err != nil {
+		tb.Fatal(err)
+	}
+}
+
 // Query implements Transport.
 func (c *cluster) Query(_ context.Context, vm string, request QueryRequest) (QueryReply, error) {
 	a, loseReply, err := c.acceptorFor(vm)
