Pass changes on to the leader as patches

Change: the node sends the patch from the text in force on it, and names that text's version. The leader makes the text from its own or its history's; without it, or of an earlier version, it gets the whole.

--- a/internal/relayer/export_test.go
+++ b/internal/relayer/export_test.go
@@ -20,12 +20,14 @@
 	n.activate(document, &replicator.Value{Revision: revision})
 }
 
-// ForgetDifferences makes the node refuse differences in rounds as one of an earlier version, which doesn't know the method. It must be
-// called before Start.
+// ForgetDifferences makes the node refuse differences in rounds and changes as patches, as one of an earlier version, which doesn't know
+// these methods. It must be called before Start.
 func (n *Node) ForgetDifferences() {
-	n.messenger.Handle(methodAcceptDifference, func(context.Context, json.RawMessage) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + methodAcceptDifference}
-	})
+	for _, method := range []string{methodAcceptDifference, methodPatchedChange} {
+		n.messenger.Handle(method, func(context.Context, json.RawMessage) (any, error) {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + method}
+		})
+	}
 }
 
 // Dispatch serves a caller's request.
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/gossiper"
 	"github.com/marigoldrelay/marigoldrelay/internal/maintainer"
 	"github.com/marigoldrelay/marigoldrelay/internal/messenger"
+	"github.com/marigoldrelay/marigoldrelay/internal/patcher"
 	"github.com/marigoldrelay/marigoldrelay/internal/replicator"
 )
 
@@ -64,6 +66,49 @@
 	InForce uint64 `json:"in-force,omitempty"`
 }
 
+// minPatchedChange is the size in bytes of the shortest text that is passed on as a patch.
+const minPatchedChange = 4 << 10
+
+// patchedChangeRequest asks the leader to make a change whose text is a patch.
+type patchedChangeRequest struct {
+	// Change has no text.
+	replicator.Change
+	// TextPatch leads to the text from that of FromVersion.
+	replicator.TextPatch
+	FromVersion uint64 `json:"from-version"`
+	// InForce is the revision that the sender has in force.
+	InForce uint64 `json:"in-force,omitempty"`
+}
+
+// newPatchedChange returns the request for a change as a patch on the text of a value, or nil if one of the texts is short.
+func newPatchedChange(change *replicator.Change, local *replicator.Value) *patchedChangeRequest {
+	if local == nil || min(len(local.Text), len(change.Text)) < minPatchedChange {
+		return nil
+	}
+	request := &patchedChangeRequest{
+		Change: *change, TextPatch: replicator.NewTextPatch(patcher.Sign(local.Text), change.Text), FromVersion: local.Version,
+		InForce: local.Revision,
+	}
+	request.Text = ""
+	return request
+}
+
+// whole returns the change with its text, made from that of a version in the value. The error wraps replicator.ErrOtherBase if the value
+// doesn't have it.
+func (p *patchedChangeRequest) whole(local *replicator.Value) (*replicator.Change, error) {
+	from, err := local.TextOf(p.FromVersion)
+	if err != nil {
+		return nil, err
+	}
+	text, err := p.ApplyTo(from)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", replicator.ErrOtherBase, err)
+	}
+	change := p.Change
+	change.Text = text
+	return &change, nil
+}
+
 // changeReply is the leader's answer to a change. If the change was refused, Conflict or VersionTooLow is set.
 type changeReply struct {
 	Conflict *replicator.ConflictError `json:"conflict,omitempty"`
@@ -100,8 +145,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	request := changeRequest{Change: *change, InForce: r.node.revision()}
-	if err := r.node.messenger.Call(ctx, leader.Control, messenger.PurposeConfiguration, methodChange, request, &reply); err != nil {
+	if err := r.passOnChange(ctx, &leader, change, &reply); err != nil {
 		r.node.log.Warn("The leader has not made a change.", "leader", leader.Name, "id", change.ID, "error", err)
 		r.skipLeader(leader.Name)
 		return changeReply{}, false
@@ -114,6 +158,47 @@
 	return reply, true
 }
 
+// passOnChange sends the leader a change: as a patch, or whole if the leader needs that.
+func (r *register) passOnChange(ctx context.Context, leader *gossiper.Member, change *replicator.Change, reply *changeReply) error {
+	call := func(method string, request any) error {
+		return r.node.messenger.Call(ctx, leader.Control, messenger.PurposeConfiguration, method, request, reply)
+	}
+	if patched := newPatchedChange(change, r.Local()); patched != nil {
+		err := call(methodPatchedChange, patched)
+		if !needsWhole(err) {
+			return err
+		}
+		r.node.meter.Event("patched_changes_refused")
+		r.node.log.Info("The leader needs the whole change.", "leader", leader.Name, "id", change.ID, "error", err)
+	}
+	return call(methodChange, changeRequest{Change: *change, InForce: r.node.revision()})
+}
+
+// changeForOther makes a change for another node, which has the revision in force.
+func (r *register) changeForOther(ctx context.Context, change *replicator.Change, inForce uint64) (changeReply, error) {
+	version, err := r.applyChange(ctx, change)
+	reply, err := newChangeReply(version, err)
+	if err == nil && r.Local() != nil {
+		document := r.history.Document(inForce)
+		reply.Document = &document
+	}
+	return reply, err
+}
+
+// addChangeHandlers adds the handlers of changes that other nodes pass on.
+func (r *register) addChangeHandlers(m *messenger.Messenger) {
+	addHandler(m, methodChange, func(ctx context.Context, p changeRequest) (changeReply, error) {
+		return r.changeForOther(ctx, &p.Change, p.InForce)
+	})
+	addHandler(m, methodPatchedChange, func(ctx context.Context, p patchedChangeRequest) (changeReply, error) {
+		change, err := p.whole(r.Local())
+		if err != nil {
+			return changeReply{}, rpcError(err)
+		}
+		return r.changeForOther(ctx, change, p.InForce)
+	})
+}
+
 // outcome returns the version or the error that the reply stands for.
 func (c changeReply) outcome() (version uint64, err error) {
 	switch {
--- a/internal/relayer/register.go
+++ b/internal/relayer/register.go
@@ -31,6 +31,7 @@
 	methodConfirm          = "confirm"
 	methodDeputy           = "deputy"
 	methodDocument         = "document"
+	methodPatchedChange    = "patched-change"
 	methodPrepare          = "prepare"
 	methodPush             = "push"
 	methodQuery            = "query"
@@ -166,18 +167,10 @@
 
 func (r *register) addHandlers(m *messenger.Messenger) {
 	r.addRoundHandlers(m)
+	r.addChangeHandlers(m)
 	addHandler(m, methodDocument, func(_ context.Context, p fetchRequest) (distributor.Document, error) {
 		return r.documentFor(p), nil
 	})
-	addHandler(m, methodChange, func(ctx context.Context, p changeRequest) (changeReply, error) {
-		version, err := r.applyChange(ctx, &p.Change)
-		reply, err := newChangeReply(version, err)
-		if err == nil && r.Local() != nil {
-			document := r.history.Document(p.InForce)
-			reply.Document = &document
-		}
-		return reply, err
-	})
 	addHandler(m, methodConfirm, func(ctx context.Context, _ emptyMessage) (confirmer.Answer, error) {
 		if r.acceptor == nil {
 			return confirmer.Answer{}, rpcError(errNotReplica)
--- a/internal/replicator/difference.go
+++ b/internal/replicator/difference.go
@@ -114,6 +114,22 @@
 	return &to, nil
 }
 
+// TextOf returns the text of a version: the value's own, or one that its history still has. The error wraps ErrOtherBase if neither is. The value
+// can be nil.
+func (v *Value) TextOf(version uint64) (string, error) {
+	if v != nil && v.Version == version {
+		return v.Text, nil
+	}
+	if v != nil {
+		for i := range v.History {
+			if entry := &v.History[i]; entry.Version == version && len(entry.Packed) > 0 {
+				return Unpack(entry.Packed)
+			}
+		}
+	}
+	return "", fmt.Errorf("%w: the text of version %d is missing", ErrOtherBase, version)
+}
+
 // leadsTo reports whether the difference leads to a value that was accepted under the same ballot.
 func (d *Difference) leadsTo(value *Value) bool {
 	return d.Value.Revision == value.Revision && d.Value.Version == value.Version && d.Sum == patcher.Sum(value.Text)
