Test of a deployment that forms among stalls; what TestCloseAnswersRunningChange had said

The entry of TestCloseAnswersRunningChange in KNOWN-RED was read as an acknowledged version that not all nodes had. Its words, "still waiting for version 1 after 30s", are those of changeDocument: no change was acknowledged. A version that a node lacks would be told with "at core-N".

It was not reproduced.

--- a/internal/relayer/memorynetwork_test.go
+++ b/internal/relayer/memorynetwork_test.go
@@ -40,6 +40,9 @@
 	refused map[link]bool
 	// lines holds the line of each VM that has a thin one.
 	lines map[netip.Addr]*memoryLine
+	// stallPercent is the part of the packets that arrive up to maxStall later.
+	stallPercent int
+	maxStall     time.Duration
 }
 
 // memoryLine is the line of a VM to the network. Bytes wait for their turn in each direction, also those of calls that were
@@ -100,6 +103,13 @@
 	m.lines[vm] = &memoryLine{bytesPerSecond: bytesPerSecond}
 }
 
+// setStalls makes a part of the packets arrive up to a time later.
+func (m *memoryNetwork) setStalls(percent int, longest time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stallPercent, m.maxStall = percent, longest
+}
+
 // sentBy returns the number of bytes that a VM has sent through its line.
 func (m *memoryNetwork) sentBy(vm netip.Addr) int {
 	m.mu.Lock()
@@ -112,6 +122,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	at := time.Now()
+	if m.stallPercent > 0 && m.random.IntN(100) < m.stallPercent {
+		at = at.Add(time.Duration(m.random.Int64N(int64(m.maxStall))))
+	}
 	if line := m.lines[from]; line != nil {
 		line.sent += bytes
 		at = line.pass(&line.outFree, at, bytes)
