One size from which patches are made, one accept loop, one text of an answer

Read once more: the size of the shortest text that is sent as a patch stood twice (distributor, relayer); a model of this change wrote the accept loop of wiretester and the text of a scripted answer again; answerHeaders had one value; NewDocument was used in its package alone. Behaviour and assertions are as before.

--- a/internal/distributor/document.go
+++ b/internal/distributor/document.go
@@ -42,13 +42,6 @@
 	}
 }
 
-// NewDocument returns the document of a value with its whole text.
-func NewDocument(value *replicator.Value) Document {
-	document := newDocument(value)
-	document.Packed = replicator.Pack(value.Text)
-	return document
-}
-
 // Size returns the number of bytes of the text or the patch, compressed.
 func (d *Document) Size() int {
 	return len(d.Packed) + len(d.Patch)
--- a/internal/distributor/history.go
+++ b/internal/distributor/history.go
@@ -12,8 +12,6 @@
 	// MaxUnaskedBytes is the size of the largest text or patch that is sent without a question whether the receiver lacks it, and
 	// that is repeated. It takes 0.07 s of a link of 1 Mbps.
 	MaxUnaskedBytes = 6 << 10
-	// minPatchedBytes is the size of the shortest text for which patches are made.
-	minPatchedBytes = 4 << 10
 	// maxSignatures is the number of earlier values from which patches can be made.
 	maxSignatures = 16
 )
@@ -57,7 +55,7 @@
 
 // sign returns the signature of a value's text, or nil if it is short.
 func (h *History) sign(value *replicator.Value) patcher.Signature {
-	if len(value.Text) < minPatchedBytes {
+	if len(value.Text) < replicator.MinPatchedBytes {
 		return nil
 	}
 	if last := len(h.signed) - 1; last >= 0 && h.signed[last].revision == h.newest.Revision && h.newest.Text == value.Text {
@@ -97,14 +95,14 @@
 		return Document{}
 	}
 	i := slices.IndexFunc(h.signed, func(s signedRevision) bool { return s.revision == from })
-	if i < 0 || from == h.newest.Revision || len(h.newest.Text) < minPatchedBytes {
+	if i < 0 || from == h.newest.Revision || len(h.newest.Text) < replicator.MinPatchedBytes {
 		from = 0
 	}
 	document, ok := h.documents[from]
 	switch {
 	case ok:
 	case from == 0:
-		document = NewDocument(h.newest)
+		document = newWholeDocument(h.newest)
 	default:
 		document = newPatchedDocument(h.newest, from, h.signed[i].signature)
 	}
@@ -112,6 +110,13 @@
 	return document
 }
 
+// newWholeDocument returns the document of a value with its whole text.
+func newWholeDocument(value *replicator.Value) Document {
+	document := newDocument(value)
+	document.Packed = replicator.Pack(value.Text)
+	return document
+}
+
 // newPatchedDocument returns the document that leads to a value from one with the revision and signature.
 func newPatchedDocument(value *replicator.Value, base uint64, signature patcher.Signature) Document {
 	document := newDocument(value)
--- a/internal/relayer/answermodel_test.go
+++ b/internal/relayer/answermodel_test.go
@@ -19,6 +19,7 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
+	"github.com/marigoldrelay/marigoldrelay/internal/wiretester"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
 )
 
@@ -86,7 +87,7 @@
 	}
 	defer func() { _ = socket.Close() }()
 	model := &modelUpstream{random: rand.New(rand.NewPCG(seed, 57)), served: make(map[string]servedRequest)}
-	go model.accept(socket)
+	go wiretester.AcceptConns(socket, model.serve)
 	upstream := newLocalUpstream(timekeeper.System{}, idInterpreter{})
 	upstream.observer, upstream.answerSkipped = ignoredAnswers{}, func(string, *fasthttp.ResponseHeader) {}
 	upstream.reconnect(announcer.Announcement{Address: socket.Addr().String(), Instance: "i"})
@@ -139,16 +140,6 @@
 	}
 }
 
-func (m *modelUpstream) accept(socket net.Listener) {
-	for {
-		conn, err := socket.Accept()
-		if err != nil {
-			return
-		}
-		go m.serve(conn)
-	}
-}
-
 // serve answers the requests on a connection.
 func (m *modelUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
--- a/internal/relayer/leader.go
+++ b/internal/relayer/leader.go
@@ -66,9 +66,6 @@
 	InForce uint64 `json:"in-force,omitempty"`
 }
 
-// minPatchedChange is the size in bytes of the shortest text that is passed on as a patch.
-const minPatchedChange = 4 << 10
-
 // patchedChangeRequest asks the leader to make a change whose text is a patch.
 type patchedChangeRequest struct {
 	// Change has no text.
@@ -82,7 +79,7 @@
 
 // newPatchedChange returns the request for a change as a patch on the text of a value, or nil if one of the texts is short.
 func newPatchedChange(change *replicator.Change, local *replicator.Value) *patchedChangeRequest {
-	if local == nil || min(len(local.Text), len(change.Text)) < minPatchedChange {
+	if local == nil || min(len(local.Text), len(change.Text)) < replicator.MinPatchedBytes {
 		return nil
 	}
 	request := &patchedChangeRequest{
--- a/internal/relayer/upstream_test.go
+++ b/internal/relayer/upstream_test.go
@@ -5,20 +5,17 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"os"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/marigoldrelay/marigoldrelay/internal/executor"
 	"github.com/marigoldrelay/marigoldrelay/internal/forwarder"
 	"github.com/marigoldrelay/marigoldrelay/internal/interpreter"
 	"github.com/marigoldrelay/marigoldrelay/internal/timekeeper"
 	"github.com/marigoldrelay/marigoldrelay/pkg/announcer"
+	"github.com/valyala/fasthttp"
 )
 
 // answerScript is a series of requests to one upstream, and what it writes when it has read each of them.
@@ -43,27 +40,8 @@
 	Closes bool `json:"closes"`
 }
 
-// answerHeaders are the headers of an answer in a protocol between node and upstream.
-type answerHeaders struct {
-	interpreter Interpreter
-	id          string
-	notRun      string
-}
-
-func (a *scriptedAnswer) text(headers *answerHeaders) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "HTTP/1.1 %d Status\r\nContent-Length: 0\r\n", a.Status)
-	if a.ID != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n", headers.id, a.ID)
-	}
-	if a.NotRun {
-		fmt.Fprintf(&b, "%s: true\r\n", headers.notRun)
-	}
-	return b.String() + "\r\n"
-}
-
 // serveScript accepts connections and answers the requests on them as the script says.
-func serveScript(t *testing.T, script *answerScript, headers *answerHeaders) net.Addr {
+func serveScript(t *testing.T, script *answerScript) net.Addr {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,13 +56,13 @@
 			if err != nil {
 				return
 			}
-			go serveScripted(conn, isFirst, script, headers, next)
+			go serveScripted(conn, isFirst, script, next)
 		}
 	}()
 	return socket.Addr()
 }
 
-func serveScripted(conn net.Conn, isFirst bool, script *answerScript, headers *answerHeaders, next chan int) {
+func serveScripted(conn net.Conn, isFirst bool, script *answerScript, next chan int) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -101,7 +79,7 @@
 			if answer.Extra && !isFirst {
 				continue
 			}
-			if _, err := conn.Write([]byte(answer.text(headers))); err != nil {
+			if _, err := conn.Write([]byte(answerText(answer.Status, answer.ID, answer.NotRun, ""))); err != nil {
 				return
 			}
 		}
@@ -138,9 +116,8 @@
 	if err := json.Unmarshal(text, &scripts); err != nil {
 		t.Fatal(err)
 	}
-	headers := &answerHeaders{interpreter: idInterpreter{}, id: headerTestRequest, notRun: interpreter.HeaderNotRun}
 	for _, script := range scripts {
-		t.Run(script.Name, func(t *testing.T) { script.run(t, headers) })
+		t.Run(script.Name, func(t *testing.T) { script.run(t) })
 	}
 }
 
@@ -157,9 +134,9 @@
 	return answer
 }
 
-func (s *answerScript) run(t *testing.T, headers *answerHeaders) {
-	address := serveScript(t, s, headers)
-	upstream := newLocalUpstream(timekeeper.System{}, headers.interpreter)
+func (s *answerScript) run(t *testing.T) {
+	address := serveScript(t, s)
+	upstream := newLocalUpstream(timekeeper.System{}, idInterpreter{})
 	upstream.observer, upstream.answerSkipped = ignoredAnswers{}, func(string, *fasthttp.ResponseHeader) {}
 	upstream.reconnect(announcer.Announcement{Address: address.String(), Instance: "i"})
 	for i, request := range s.Requests {
@@ -167,7 +144,7 @@
 		req.SetRequestURI("/")
 		req.Header.SetHost("test")
 		if request.ID != "" {
-			req.Header.Set(headers.id, request.ID)
+			req.Header.Set(headerTestRequest, request.ID)
 		}
 		err := upstream.Do(context.Background(), req, resp, time.Now().Add(10*time.Second))
 		if got := outcomeOf(resp, err); got != request.Want {
--- a/internal/replicator/difference.go
+++ b/internal/replicator/difference.go
@@ -114,8 +114,8 @@
 	return &to, nil
 }
 
-// TextOf returns the text of a version: the value's own, or one that its history still has. The error wraps ErrOtherBase if neither is. The value
-// can be nil.
+// TextOf returns the text of a version: the value's own, or one that its history still has. The error wraps ErrOtherBase if it is
+// neither. The value can be nil.
 func (v *Value) TextOf(version uint64) (string, error) {
 	if v != nil && v.Version == version {
 		return v.Text, nil
--- a/internal/replicator/evacuation.go
+++ b/internal/replicator/evacuation.go
@@ -36,8 +36,8 @@
 }
 
 // Evacuate carries out the order. Its result is nil if that is not known to be chosen. An order that changes nothing runs a round
-// too: a read can't end an earlier order about which a minority of the replicas knows, so that it would be carried out later. The error wraps ErrUnknownDataCentre or ErrLastDataCentre for an order that
-// can't be carried out.
+// too: a read can't end an earlier order about which a minority of the replicas knows, so that it would be carried out later. The
+// error wraps ErrUnknownDataCentre or ErrLastDataCentre for an order that can't be carried out.
 func (p *Proposer) Evacuate(ctx context.Context, order *Evacuation) (*EvacuationResult, error) {
 	if !slices.Contains(order.Known, order.DataCentre) {
 		return nil, fmt.Errorf("%w: %s", ErrUnknownDataCentre, order.DataCentre)
--- a/internal/replicator/textpatch.go
+++ b/internal/replicator/textpatch.go
@@ -6,6 +6,9 @@
 	"github.com/marigoldrelay/marigoldrelay/internal/patcher"
 )
 
+// MinPatchedBytes is the size of the shortest text for which a patch is worth its making.
+const MinPatchedBytes = 4 << 10
+
 // TextPatch leads from one text to another.
 type TextPatch struct {
 	// Patch is one of patcher, compressed by Pack.
--- a/internal/wiretester/server.go
+++ b/internal/wiretester/server.go
@@ -31,14 +31,17 @@
 		tb.Fatal(err)
 	}
 	tb.Cleanup(func() { _ = socket.Close() })
-	go func() {
-		for {
-			conn, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	go AcceptConns(socket, serve)
 	return netip.MustParseAddrPort(socket.Addr().String())
 }
+
+// AcceptConns accepts connections until the listener is closed, and calls serve with each in a goroutine of its own.
+func AcceptConns(socket net.Listener, serve func(conn net.Conn)) {
+	for {
+		conn, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
